--- /dev/null
+++ b/internal/simwire/host.go
@@ -0,0 +1,117 @@
+package simwire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"tackhub.example/tackhub/logic"
+)
+
+// node is one instance and how its load reports are read; nothing in it is shared.
+type node struct {
+	logic  *logic.Logic
+	loadAt int
+}
+
+// Host runs many instances over one pair of streams.
+type Host struct {
+	nodes map[int]*node
+	lists map[int][]Entry // raw lists: each instance gets entries of its own
+	errs  io.Writer
+}
+
+// NewHost makes a host without instances; plain messages go to errs.
+func NewHost(errs io.Writer) *Host {
+	return &Host{nodes: map[int]*node{}, lists: map[int][]Entry{}, errs: errs}
+}
+
+// Serve answers batches until the input ends.
+func (h *Host) Serve(in io.Reader, out io.Writer) error {
+	r := bufio.NewReaderSize(in, 1<<20)
+	w := bufio.NewWriterSize(out, 1<<16)
+	enc := json.NewEncoder(w)
+	enc.SetEscapeHTML(false)
+	for number := 1; ; number++ {
+		line, err := r.ReadBytes('\n')
+		if len(line) == 0 && errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("line %d: %w", number, err)
+		}
+		batch, perr := ParseBatch(line)
+		if perr != nil {
+			return fmt.Errorf("line %d: %w", number, perr)
+		}
+		if err := enc.Encode(h.Batch(batch)); err != nil {
+			return fmt.Errorf("reply to line %d: %w", number, err)
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("reply to line %d: %w", number, err)
+		}
+	}
+}
+
+// Batch answers one batch.
+func (h *Host) Batch(b Batch) Reply {
+	reply := Reply{Serial: b.Serial, Parts: []ReplyPart{}}
+	for i := range b.Parts {
+		p := &b.Parts[i]
+		var decisions []any
+		for j := range p.Items {
+			decisions = append(decisions, h.event(b.Now, p.Node, &p.Items[j])...)
+		}
+		if len(decisions) > 0 {
+			reply.Parts = append(reply.Parts, ReplyPart{p.Node, decisions})
+		}
+	}
+	return reply
+}
+
+func (h *Host) event(now float64, id int, e *Event) []any {
+	switch e.What {
+	case "pool":
+		h.lists[e.Ref] = e.Members
+		return nil
+	case "hello":
+		return h.hello(id, e)
+	case "destroy":
+		delete(h.nodes, id)
+		return nil
+	}
+	n := h.nodes[id]
+	if n == nil {
+		return nil
+	}
+	var lists map[int][]logic.ServerEntry
+	if e.What == "announce" {
+		lists = map[int][]logic.ServerEntry{e.Ref: Entries(h.lists[e.Ref])}
+	}
+	event := Translate(e, lists, n.loadAt)
+	if event == nil {
+		return nil
+	}
+	var out []any
+	for _, a := range n.logic.Step(now, event) {
+		out = append(out, Encode(a))
+	}
+	return out
+}
+
+func (h *Host) hello(id int, e *Event) []any {
+	delete(h.nodes, id)
+	set, loadAt, err := Settings(e.Options)
+	var l *logic.Logic
+	if err == nil {
+		l, err = logic.New(set, e.Nonce)
+	}
+	if err != nil {
+		fmt.Fprintf(h.errs, "instance %d: %v\n", id, err)
+		return []any{InternalError(err.Error())}
+	}
+	h.nodes[id] = &node{logic: l, loadAt: loadAt}
+	return nil
+}
--- /dev/null
+++ b/internal/simwire/options.go
@@ -0,0 +1,145 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"tackhub.example/tackhub/logic"
+)
+
+type options struct {
+	Classes []struct {
+		Name       string  `json:"name"`
+		AimMs      float64 `json:"aim_ms"`
+		AimStretch float64 `json:"aim_stretch"`
+		WindowMs   float64 `json:"dedup_window_ms"`
+		Effect     string  `json:"effect"`
+		Group      string  `json:"group"`
+		HardMs     float64 `json:"hard_limit_ms"`
+		LateShare  float64 `json:"late_share"`
+		Streamed   bool    `json:"streamed"`
+		Worth      float64 `json:"worth"`
+	} `json:"classes"`
+	Habits struct {
+		MarksRetry bool `json:"marks_retry"`
+	} `json:"client_habits"`
+	CountedBy string `json:"counted_by"`
+	Discovery string `json:"discovery"`
+	FleetSize *int   `json:"fleet_size"`
+	Goal      struct {
+		Whole       float64 `json:"whole"`
+		WorstClass  float64 `json:"worst_class"`
+		WorstTenant float64 `json:"worst_tenant"`
+		WorstWindow float64 `json:"worst_window"`
+		Tail        float64 `json:"tail"`
+	} `json:"goal"`
+	Me     int `json:"me"`
+	Limits struct {
+		Attempts      *int    `json:"attempts_cap"`
+		ConnectMs     float64 `json:"connect_timeout_ms"`
+		MaxRetryAfter float64 `json:"max_retry_after_ms"`
+		MayCancel     bool    `json:"may_cancel"`
+		Probes        bool    `json:"probes"`
+		RetryAfter    bool    `json:"retry_after"`
+		SecondCopies  bool    `json:"second_copies"`
+	} `json:"policy_limits"`
+	Rules struct {
+		ColdFrom     *float64 `json:"cold_from"`
+		ColdMs       *float64 `json:"cold_ms"`
+		FallMs       *float64 `json:"fall_ms"`
+		FallMultiple *float64 `json:"fall_multiple"`
+		MustAskMs    float64  `json:"must_ask_in_ms"`
+		StopMs       *float64 `json:"stop_sending_within_ms"`
+	} `json:"obligations"`
+	OverShare float64 `json:"over_share_worth"`
+	Prices    struct {
+		CrossZone float64 `json:"cross_zone"`
+		LateFail  float64 `json:"late_fail"`
+	} `json:"prices"`
+	Realms []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_per_s"`
+	} `json:"realms"`
+	Report struct {
+		How   string   `json:"how"`
+		Names []string `json:"names"`
+	} `json:"report"`
+	TickMs  float64 `json:"tick_ms"`
+	Weights string  `json:"weights"`
+	Zone    string  `json:"zone"`
+}
+
+var effects = map[string]logic.Effect{"free": logic.Safe, "guarded": logic.Keyed, "single_shot": logic.Unsafe}
+
+var groups = map[string]logic.Group{"all": logic.GroupAll, "zone": logic.GroupZone, "cell": logic.GroupCell}
+
+// Settings reads the start-up options. The second result is the place of the requests in flight in a load
+// report, or -1. A key that a rule needs and that is missing or not known is an error, never a guess.
+func Settings(raw json.RawMessage) (logic.Settings, int, error) {
+	var o options
+	var s logic.Settings
+	if err := json.Unmarshal(raw, &o); err != nil {
+		return s, -1, fmt.Errorf("options: %w", err)
+	}
+	if err := required(&o); err != nil {
+		return s, -1, err
+	}
+	s = logic.Settings{
+		Node: o.Me, Nodes: *o.FleetSize, Zone: o.Zone, OverShare: o.OverShare,
+		Goal: logic.Goal{Whole: o.Goal.Whole, WorstWindow: o.Goal.WorstWindow, WorstClass: o.Goal.WorstClass,
+			WorstTenant: o.Goal.WorstTenant, Tail: o.Goal.Tail},
+		CountWork: o.CountedBy == "work", Subscribe: o.Discovery == "subscribe",
+		Sized: o.Weights == "nominal" || o.Weights == "rough", MarksRetry: o.Habits.MarksRetry,
+		DrainGrace: *o.Rules.StopMs, ColdFrom: *o.Rules.ColdFrom, ColdFor: *o.Rules.ColdMs,
+		FallMultiple: *o.Rules.FallMultiple, FallFor: *o.Rules.FallMs, MustAskIn: o.Rules.MustAskMs,
+		MaxAttempts: *o.Limits.Attempts, MayCancel: o.Limits.MayCancel, MayProbe: o.Limits.Probes,
+		SecondCopies: o.Limits.SecondCopies, RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfter,
+		ConnectTimeout: o.Limits.ConnectMs, Tick: o.TickMs, LateFailPrice: o.Prices.LateFail,
+		CrossZonePrice: o.Prices.CrossZone,
+	}
+	for _, c := range o.Classes {
+		effect, ok := effects[c.Effect]
+		if !ok {
+			return s, -1, fmt.Errorf("options: classes[%s].effect: %q is not known", c.Name, c.Effect)
+		}
+		group, ok := groups[c.Group]
+		if !ok && effect == logic.Keyed {
+			return s, -1, fmt.Errorf("options: classes[%s].group: %q is not known", c.Name, c.Group)
+		}
+		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Effect: effect, Group: group, Window: c.WindowMs,
+			Aim: c.AimMs, AimStretch: c.AimStretch, HardLimit: c.HardMs, Worth: c.Worth, LateShare: c.LateShare,
+			Streamed: c.Streamed})
+	}
+	for _, t := range o.Realms {
+		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, Quota: t.Quota})
+	}
+	loadAt := slices.Index(o.Report.Names, "concurrent")
+	if o.Report.How == "none" {
+		loadAt = -1
+	}
+	s.Reports = loadAt >= 0
+	return s, loadAt, nil
+}
+
+// required names the first missing key that a rule needs.
+func required(o *options) error {
+	for _, k := range []struct {
+		name string
+		ok   bool
+	}{
+		{"fleet_size", o.FleetSize != nil},
+		{"obligations.cold_from", o.Rules.ColdFrom != nil},
+		{"obligations.cold_ms", o.Rules.ColdMs != nil},
+		{"obligations.fall_ms", o.Rules.FallMs != nil},
+		{"obligations.fall_multiple", o.Rules.FallMultiple != nil},
+		{"obligations.stop_sending_within_ms", o.Rules.StopMs != nil},
+		{"policy_limits.attempts_cap", o.Limits.Attempts != nil},
+		{"discovery", o.Discovery == "subscribe" || o.Discovery == "automatic"},
+	} {
+		if !k.ok {
+			return fmt.Errorf("options: %s is missing or not known", k.name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,237 @@
+// Package simwire translates between the simulator's wire (basalt-222b, one JSON value a line) and the
+// types of package logic. It decides nothing.
+package simwire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"tackhub.example/tackhub/logic"
+)
+
+// Batch is one line of events.
+type Batch struct {
+	Now    float64 `json:"now_ms"`
+	Serial uint64  `json:"serial"`
+	Parts  []Part  `json:"parts"`
+}
+
+// Part holds the events of one instance.
+type Part struct {
+	Node  int     `json:"node_id"`
+	Items []Event `json:"items"`
+}
+
+// Event is any event of the wire; What tells which of the fields count.
+type Event struct {
+	What string `json:"what"`
+
+	Nonce   uint64          `json:"nonce64"`
+	Options json.RawMessage `json:"options"`
+
+	Ref     int     `json:"ref"`
+	Members []Entry `json:"members_list"`
+	Form    string  `json:"form"`
+
+	Job      uint64    `json:"job"`
+	SizeHint float64   `json:"size_hint_ms"`
+	Kind     string    `json:"kind"`
+	Object   string    `json:"object"`
+	Retry    bool      `json:"retry"`
+	Project  Name      `json:"project"`
+	Expires  float64   `json:"expires_ms"`
+	NoMore   bool      `json:"no_more"`
+	RTT      float64   `json:"rtt_ms"`
+	Backend  string    `json:"backend"`
+	RC       string    `json:"rc"`
+	N        int       `json:"n"`
+	Feedback []float64 `json:"feedback"`
+	Ctx      string    `json:"ctx"`
+}
+
+// Name is a text that may also come as a number where there is none (a tenant of 0).
+type Name string
+
+// UnmarshalJSON reads a text, null or a number.
+func (n *Name) UnmarshalJSON(b []byte) error {
+	if len(b) > 0 && b[0] == '"' {
+		return json.Unmarshal(b, (*string)(n))
+	}
+	*n = ""
+	return nil
+}
+
+// Entry is one server of a list.
+type Entry struct {
+	Block     int     `json:"block"`
+	Readiness string  `json:"readiness"`
+	Capacity  float64 `json:"capacity_hint"`
+	Backend   string  `json:"backend"`
+	AZ        string  `json:"az"`
+	Start     float64 `json:"start_time_ms"`
+}
+
+// Reply answers a batch.
+type Reply struct {
+	Serial uint64      `json:"serial"`
+	Parts  []ReplyPart `json:"parts"`
+}
+
+// ReplyPart holds the actions of one instance.
+type ReplyPart struct {
+	Node      int   `json:"node_id"`
+	Decisions []any `json:"decisions"`
+}
+
+// ParseBatch reads one line.
+func ParseBatch(line []byte) (Batch, error) {
+	var b Batch
+	if len(bytes.TrimSpace(line)) == 0 || bytes.TrimSpace(line)[0] != '{' {
+		return b, errors.New("not a batch: no JSON object")
+	}
+	if err := json.Unmarshal(line, &b); err != nil {
+		return b, fmt.Errorf("not a batch: %w", err)
+	}
+	if b.Parts == nil {
+		return b, errors.New("not a batch: no parts")
+	}
+	return b, nil
+}
+
+var results = map[string]logic.Result{
+	"success": logic.OK, "failure": logic.Errored, "overloaded": logic.Overloaded, "timed_out": logic.TimedOut,
+	"unreachable": logic.Unreachable, "broken": logic.Broken, "withdrawn": logic.Cancelled, "void": logic.Void,
+}
+
+// result reads an outcome; one that is not known is taken as an error that may have run.
+func result(rc string) logic.Result {
+	if r, ok := results[rc]; ok {
+		return r
+	}
+	return logic.Errored
+}
+
+var states = map[string]logic.ServerState{
+	"Running": logic.Ready, "Stopping": logic.Draining, "Deleted": logic.Gone,
+}
+
+// Entries turns a wire list into logic's. An unknown state counts as draining: nothing new is sent there.
+func Entries(members []Entry) []logic.ServerEntry {
+	out := make([]logic.ServerEntry, 0, len(members))
+	for _, m := range members {
+		state, ok := states[m.Readiness]
+		if !ok {
+			state = logic.Draining
+		}
+		out = append(out, logic.ServerEntry{ID: logic.ServerID(m.Backend), State: state, Zone: m.AZ,
+			Cell: m.Block, Size: m.Capacity, Started: m.Start})
+	}
+	return out
+}
+
+var forms = map[string]logic.ListForm{
+	"delta": logic.ListDelta, "full": logic.ListFull, "cached": logic.ListCached, "failed": logic.ListFailed,
+}
+
+// Translate turns a wire event into logic's, with the lists by number; nil for one to be skipped.
+// The load report's place of the requests in flight is given by loadAt (-1: none).
+func Translate(e *Event, lists map[int][]logic.ServerEntry, loadAt int) logic.Event {
+	load := logic.Load{}
+	if loadAt >= 0 && loadAt < len(e.Feedback) {
+		load = logic.Load{Valid: true, InFlight: e.Feedback[loadAt]}
+	}
+	switch e.What {
+	case "announce":
+		form, ok := forms[e.Form]
+		if !ok {
+			return nil
+		}
+		if form == logic.ListFailed {
+			return logic.ServerList{Form: form}
+		}
+		return logic.ServerList{Form: form, Entries: lists[e.Ref]}
+	case "arrival":
+		return logic.Arrival{ID: logic.RequestID(e.Job), Class: e.Kind, Tenant: string(e.Project), Key: e.Object,
+			Hint: e.SizeHint, Retry: e.Retry, Expires: e.Expires}
+	case "first_byte":
+		return logic.FirstByte{ID: logic.RequestID(e.Job), Attempt: e.N}
+	case "deadline_hit":
+		return logic.TimerFired{Token: e.Ctx}
+	case "attempt_end":
+		return logic.AttemptEnd{ID: logic.RequestID(e.Job), Attempt: e.N, Server: logic.ServerID(e.Backend),
+			Result: result(e.RC), Elapsed: e.RTT, Closed: e.NoMore, Load: load}
+	case "sampled":
+		return logic.ProbeEnd{Server: logic.ServerID(e.Backend), Result: result(e.RC), Elapsed: e.RTT, Load: load}
+	case "dropped":
+		return logic.Dropped{ID: logic.RequestID(e.Job)}
+	}
+	return nil
+}
+
+type callOut struct {
+	What    string  `json:"what"`
+	Job     uint64  `json:"job"`
+	Stop    float64 `json:"stop_at_ms,omitempty"`
+	Backend string  `json:"backend"`
+}
+
+type jobAction struct {
+	What      string  `json:"what"`
+	Job       uint64  `json:"job"`
+	NotBefore float64 `json:"not_before_for_ms,omitempty"`
+}
+
+type recall struct {
+	What string `json:"what"`
+	Job  uint64 `json:"job"`
+	N    int    `json:"n"`
+}
+
+type setTimer struct {
+	What string  `json:"what"`
+	Ctx  string  `json:"ctx"`
+	Time float64 `json:"time_ms"`
+}
+
+type backendAction struct {
+	What    string `json:"what"`
+	Backend string `json:"backend"`
+}
+
+type watch struct {
+	What string `json:"what"`
+	On   bool   `json:"on"`
+}
+
+type reason struct {
+	What string `json:"what"`
+	Text string `json:"reason_text"`
+}
+
+// Encode turns an action into its wire form.
+func Encode(a logic.Action) any {
+	switch a := a.(type) {
+	case logic.Send:
+		return callOut{"call_out", uint64(a.ID), a.StopAt, string(a.Server)}
+	case logic.Cancel:
+		return recall{"recall", uint64(a.ID), a.Attempt}
+	case logic.Refuse:
+		return jobAction{"busy", uint64(a.ID), a.RetryAfter}
+	case logic.Fail:
+		return jobAction{"error", uint64(a.ID), 0}
+	case logic.SetTimer:
+		return setTimer{"set_timer", a.Token, a.At}
+	case logic.Probe:
+		return backendAction{"health_check", string(a.Server)}
+	case logic.Watch:
+		return watch{"stream_changes", true}
+	case logic.Log:
+		return reason{"record", a.Text}
+	}
+	return reason{"internal_error", fmt.Sprintf("no wire form for %T", a)}
+}
+
+// InternalError is the wire form of a node that cannot decide.
+func InternalError(text string) any { return reason{"internal_error", text} }
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,992 @@
+package logic
+
+// The interface (settings, events, actions) is in api.go; read it first. Every decision is in this file.
+//
+// The path of a request: arrive -> (hold, probe) -> dispatch -> pick (score, draw, redraw) -> send ->
+// attemptEnd -> answer, another attempt, or giveUp. See docs/design.md for what the design page rules
+// and docs/oncall.md for the log lines.
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+)
+
+const (
+	// The design's weights; the document's slot freshness has no counterpart here.
+	weightLatency, weightErrors, weightRecent = 0.4, 0.3, 0.1
+
+	cycle        = 250.0 // score cycle: a few answers per server, and little CPU
+	bucketCount  = 10    // the error window is ten buckets of a second: the design's 10 s
+	bucketLen    = 1000.0
+	recentCount  = 10    // outcomes that make the recent success rate, as the design has it
+	tripFailures = 5     // consecutive failures that exclude a server
+	tripRate     = 0.5   // error rate that excludes one ...
+	tripMinimum  = 20    // ... over at least so many outcomes
+	cooldown     = 10000 // the document's latency-sensitive profile
+	maxExcluded  = 0.5   // beyond this share the cause is shared, or is us: survivors would topple
+
+	latencyGain = 0.2 // smoothing of latency and unit time: about the last five outcomes
+	staleAfter  = 2000.0
+	staleDecay  = 4000.0 // a shunned server's unit time returns to the fleet's over some seconds
+
+	redrawFactor = 1.3  // a draw is repeated when its expected time exceeds the best by so much
+	redrawLimit  = 16   // enough draws to find an uncrowded server among dozens
+	fitShare     = 0.75 // expected share of the time left that a first send may use; the rest is variance
+	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
+	probeWait    = 4.0  // several round trips in one site, and still little of any aim
+	reportFresh  = 8.0  // a report younger than this needs no probe
+
+	sweepEvery   = 10.0 // how often held and overdue requests are looked at, while there are any
+	retryShare   = 0.1  // further attempts per first try: client retries multiply them already
+	retryBurst   = 5.0
+	rescueAt     = 2.5  // an attempt is overdue at this multiple of its expected time
+	coldMargin   = 0.6  // of the cold budget; our capacity estimate may be off by half
+	coldBurst    = 0.25 // of a window's budget at once; the rest is spread within it
+	askFirstWait = 200.0
+	askLongest   = 5000.0
+	goalMemory   = 30000.0 // time constant of the served shares per class and tenant
+	rateMemory   = 3000.0  // time constant of the tenants' rates
+)
+
+// Logic decides for one node. It is pure: time and chance come in through Step and New.
+type Logic struct {
+	set       Settings
+	rng       *rand.Rand
+	now       Millis
+	out       []Action
+	servers   map[ServerID]*server
+	list      []*server // ready, in the order first heard of
+	classes   map[string]*classState
+	tenants   map[string]*tenantState
+	requests  map[RequestID]*request
+	heldQueue []*request
+	openList  []*request
+	started   bool
+	sweeping  bool
+	cycling   bool
+	askDelay  Millis
+	askAt     Millis
+	asking    bool
+	subscribe bool
+	retries   float64 // tokens for further attempts
+	unit      Millis  // typical unit time over servers
+	hintMean  Millis
+	shedding  bool
+	shared    bool
+}
+
+// New makes the logic of one node, or says which setting makes that impossible.
+func New(set Settings, seed uint64) (*Logic, error) {
+	if err := validate(set); err != nil {
+		return nil, err
+	}
+	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
+		requests: map[RequestID]*request{}, retries: retryBurst, askDelay: askFirstWait}
+	l.unit = math.Inf(1)
+	for _, c := range set.Classes {
+		l.classes[c.Name] = &classState{Class: c}
+		l.unit = min(l.unit, c.Aim/4) // until measured: four requests make an aim
+	}
+	for _, t := range set.Tenants {
+		l.tenants[t.Name] = &tenantState{Tenant: t}
+	}
+	return l, nil
+}
+
+// Step takes one event at the given time and returns what is to be done, in order.
+func (l *Logic) Step(now Millis, event Event) []Action {
+	l.now, l.out = now, nil
+	if !l.started {
+		l.start()
+	}
+	switch e := event.(type) {
+	case Arrival:
+		l.arrive(e)
+	case AttemptEnd:
+		l.attemptEnd(e)
+	case FirstByte:
+		if r := l.requests[e.ID]; r != nil {
+			r.streamed = true
+		}
+	case Dropped:
+		if r := l.requests[e.ID]; r != nil {
+			l.finish(r)
+		}
+	case ProbeEnd:
+		l.probeEnd(e)
+	case TimerFired:
+		l.timer(e.Token)
+	case ServerList:
+		l.serverList(e)
+	}
+	return l.out
+}
+
+func (l *Logic) do(a Action) { l.out = append(l.out, a) }
+
+func (l *Logic) logf(format string, args ...any) { l.do(Log{fmt.Sprintf(format, args...)}) }
+
+func (l *Logic) start() {
+	l.started = true
+	l.do(SetTimer{"cycle", l.now + cycle})
+	if l.set.Subscribe {
+		l.ask()
+	}
+}
+
+func (l *Logic) timer(token string) {
+	switch token {
+	case "cycle":
+		l.runCycle()
+		l.do(SetTimer{"cycle", l.now + cycle})
+	case "sweep":
+		l.sweeping = false
+		l.sweep()
+	case "probes":
+		l.dispatch()
+	case "ask":
+		if l.set.Subscribe && !l.subscribe && l.now >= l.askAt {
+			l.ask()
+		}
+	}
+}
+
+// ---- the server list
+
+// ask subscribes. A lost answer is asked for again well before this node is deemed informed.
+func (l *Logic) ask() {
+	l.asking = true
+	l.do(Watch{})
+	wait := askLongest
+	if l.set.MustAskIn > 0 {
+		wait = min(wait, l.set.MustAskIn/2)
+	}
+	l.askAt = l.now + wait
+	l.do(SetTimer{"ask", l.askAt})
+}
+
+func (l *Logic) serverList(e ServerList) {
+	switch e.Form {
+	case ListFailed:
+		l.listFailed()
+		return
+	case ListFull, ListDelta:
+		if l.asking {
+			l.asking, l.subscribe, l.askDelay = false, true, askFirstWait
+		}
+	}
+	named := map[ServerID]bool{}
+	for _, entry := range e.Entries {
+		named[entry.ID] = true
+		l.learn(entry, e.Form)
+	}
+	if e.Form != ListDelta {
+		for _, s := range l.list {
+			if !named[s.ID] {
+				s.State = Gone
+			}
+		}
+	}
+	l.relist()
+	l.runScores()
+	l.dispatch()
+}
+
+// listFailed retries with jittered growing pauses: all nodes lose discovery together.
+func (l *Logic) listFailed() {
+	l.asking, l.subscribe = false, false
+	if !l.set.Subscribe {
+		return
+	}
+	l.logf("server list: call failed, keeping %d servers, asking again", len(l.list))
+	l.askAt = l.now + l.askDelay*(0.5+l.rng.Float64())
+	l.askDelay = min(l.askDelay*2, askLongest)
+	l.do(SetTimer{"ask", l.askAt})
+}
+
+// learn takes in one entry. A server that started anew begins without a past.
+func (l *Logic) learn(e ServerEntry, form ListForm) {
+	s := l.servers[e.ID]
+	if s == nil || (e.State == Ready && e.Started != s.Started) {
+		fresh := &server{ServerEntry: e, tokensAt: l.now, outcomeAt: l.now}
+		if s != nil {
+			for i, x := range l.list {
+				if x == s {
+					l.list[i] = fresh
+				}
+			}
+		}
+		l.servers[e.ID] = fresh
+		s = fresh
+		l.newcomer(s)
+	}
+	s.ServerEntry = e
+	if !s.known && s.State == Ready {
+		s.known = true
+		l.list = append(l.list, s)
+	}
+}
+
+func (l *Logic) relist() {
+	seen := map[*server]bool{}
+	kept := l.list[:0]
+	for _, s := range l.list {
+		s.known = s.State == Ready && l.servers[s.ID] == s && !seen[s]
+		if s.known {
+			kept = append(kept, s)
+		}
+		seen[s] = true
+	}
+	l.list = kept
+}
+
+// newcomer starts a server at the others' mean score, with the typical unit time for its size.
+func (l *Logic) newcomer(s *server) {
+	s.unit = l.typicalUnit(s)
+	s.latency = s.unit
+	sum, n := 0.0, 0
+	for _, o := range l.list {
+		if o != s && o.score > 0 {
+			sum, n = sum+o.score, n+1
+		}
+	}
+	if s.score = 1; n > 0 {
+		s.score = sum / float64(n)
+	}
+}
+
+func (l *Logic) typicalUnit(s *server) Millis {
+	if l.set.Sized && s.Size > 0 {
+		return l.unit / s.Size
+	}
+	return l.unit
+}
+
+// ramp is the least share of its capacity a server can have by now.
+func (l *Logic) ramp(s *server) float64 {
+	if s.Started <= 0 || l.set.ColdFor <= 0 {
+		return 1
+	}
+	age := max(0, l.now-s.Started)
+	return min(1, l.set.ColdFrom+(1-l.set.ColdFrom)*age/l.set.ColdFor)
+}
+
+// coldRate is the cost a second-fraction (per ms) this node may send a cold server: its part of the
+// budget, had every node sent as much. Everything sent counts, refused work too.
+func (l *Logic) coldRate(s *server) float64 {
+	return coldMargin * l.set.FallMultiple * l.ramp(s) / l.typicalUnit(s) / float64(l.set.Nodes)
+}
+
+// coldRoom refills a cold server's budget and tells whether cost fits. It guards against pushing over a
+// server that has just started, which stays down.
+func (l *Logic) coldRoom(s *server, cost float64) bool {
+	if l.ramp(s) >= 1 {
+		return true
+	}
+	rate := l.coldRate(s)
+	burst := max(1, coldBurst*rate*l.set.FallFor)
+	s.tokens = min(burst, s.tokens+rate*(l.now-s.tokensAt))
+	s.tokensAt = l.now
+	return s.tokens >= min(cost, burst)
+}
+
+// ---- health: score, exclusion, trial
+
+func (l *Logic) runCycle() {
+	l.runScores()
+	for _, s := range l.list {
+		if s.excluded && l.now >= s.trialAt && l.set.MayProbe && !s.probeOut && !s.trialOut {
+			l.probe(s)
+		}
+	}
+	l.dispatch()
+}
+
+// runScores scores each ready server from 0 to 1 and renews the typical unit time.
+func (l *Logic) runScores() {
+	var units []float64
+	best := math.Inf(1)
+	for _, s := range l.list {
+		if s.seen {
+			u := s.unit * l.ramp(s)
+			if l.set.Sized && s.Size > 0 {
+				u *= s.Size
+			}
+			units = append(units, u)
+		}
+		best = min(best, l.feltLatency(s))
+	}
+	if len(units) > 0 {
+		sort.Float64s(units)
+		l.unit = units[len(units)/2]
+	}
+	for _, s := range l.list {
+		if s.recentLen == 0 {
+			continue // a newcomer keeps the others' mean
+		}
+		ok, fail := s.window(l.now)
+		errorRate := 0.0
+		if ok+fail > 0 {
+			errorRate = float64(fail) / float64(ok+fail)
+		}
+		s.score = (weightLatency*best/l.feltLatency(s) + weightErrors*(1-errorRate) + weightRecent*s.recentRate()) /
+			(weightLatency + weightErrors + weightRecent)
+	}
+}
+
+// feltLatency is the smoothed latency, raised at once by attempts that stay out longer: silence counts
+// before the outcome arrives. Evidence that nothing renews fades toward the typical.
+func (l *Logic) feltLatency(s *server) Millis {
+	return max(1e-3, l.fade(s, s.latency), l.overdue(s, false))
+}
+
+// feltUnit is the time a server takes for each request in its hands.
+func (l *Logic) feltUnit(s *server) Millis {
+	return max(1e-3, l.fade(s, s.unit), l.overdue(s, true))
+}
+
+func (l *Logic) fade(s *server, v Millis) Millis {
+	idle := l.now - s.outcomeAt - staleAfter
+	if idle <= 0 || s.inflight > 0 {
+		return v
+	}
+	base := l.typicalUnit(s)
+	return base + (v-base)*math.Exp(-idle/staleDecay)
+}
+
+// overdue is the age of the oldest attempt out at a server, or its age for each request ahead of it.
+func (l *Logic) overdue(s *server, each bool) Millis {
+	worst := 0.0
+	for _, r := range s.open {
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			if a.server != s || !a.open {
+				continue
+			}
+			age := l.now - a.sentAt
+			if each {
+				age /= max(1, a.occupied) * max(1, r.cost)
+			}
+			worst = max(worst, age)
+		}
+		break // the oldest tells most; the rest queue behind it
+	}
+	return worst
+}
+
+// observe books an attempt's outcome to its server's health.
+func (l *Logic) observe(s *server, r *request, a *attempt, result Result, elapsed Millis) {
+	if result == Void || (result == Cancelled && elapsed < a.expected) {
+		return // tells nothing of the server
+	}
+	good := result == OK
+	if result != Cancelled {
+		s.note(l.now, good)
+	}
+	felt := elapsed
+	if !good { // a quick error must not look like a quick answer
+		felt = max(elapsed, r.class.Aim)
+	}
+	gain := latencyGain
+	if !s.seen {
+		gain = 0.5
+	}
+	s.latency += gain * (felt - s.latency)
+	if good || result == TimedOut || result == Cancelled {
+		unit := elapsed / (max(1, a.occupied-1+r.cost))
+		if good || unit > s.unit {
+			s.unit += gain * (unit - s.unit)
+		}
+		s.seen = s.seen || good
+	}
+	s.outcomeAt = l.now
+	l.judge(s, result)
+}
+
+// judge applies the exclusion triggers and the trial. Refusals because a server is full are load, not a
+// fault: excluding for them would topple the next server.
+func (l *Logic) judge(s *server, result Result) {
+	switch {
+	case result == OK:
+		s.failures = 0
+		if s.excluded {
+			l.readmit(s)
+		}
+		return
+	case result == Overloaded || result == Cancelled:
+		return
+	}
+	s.failures++
+	if s.excluded {
+		s.trialAt = l.now + cooldown
+		return
+	}
+	ok, fail := s.window(l.now)
+	if s.failures < tripFailures && (ok+fail < tripMinimum || float64(fail) < tripRate*float64(ok+fail)) {
+		return
+	}
+	out := 1
+	for _, o := range l.list {
+		if o.excluded {
+			out++
+		}
+	}
+	if float64(out) > maxExcluded*float64(len(l.list)) {
+		if !l.shared {
+			l.shared = true
+			l.logf("half the servers fail: a shared cause or this node; excluding no more")
+		}
+		return
+	}
+	s.excluded, s.trialAt = true, l.now+cooldown
+	l.logf("excluded %s: %d failures in a row, %d of %d in the window", s.ID, s.failures, fail, ok+fail)
+}
+
+func (l *Logic) readmit(s *server) {
+	s.excluded, l.shared = false, false
+	s.buckets, s.recentLen, s.recentPos = [bucketCount]bucket{}, 0, 0
+	s.score = 0
+	l.newcomerScore(s)
+	l.logf("readmitted %s after its trial", s.ID)
+}
+
+func (l *Logic) newcomerScore(s *server) {
+	unit, latency := s.unit, s.latency
+	l.newcomer(s)
+	s.unit, s.latency = unit, latency
+}
+
+// ---- load: what a server has in hand and how long a send would take
+
+func (l *Logic) report(s *server, load Load, own int) {
+	if !load.Valid {
+		return
+	}
+	s.others = max(0, load.InFlight-float64(own))
+	s.othersAvg += 0.2 * (s.others - s.othersAvg)
+	s.reportAt = l.now
+}
+
+// occupancy estimates the requests a server has in hand. Reports age toward their mean; without any the
+// other nodes are taken to send as much as this one.
+func (l *Logic) occupancy(s *server) float64 {
+	own := float64(s.inflight)
+	if !l.set.Reports {
+		return own * float64(l.set.Nodes)
+	}
+	if s.reportAt == 0 {
+		return own
+	}
+	age := l.now - s.reportAt
+	return own + s.othersAvg + (s.others-s.othersAvg)*math.Exp(-age/(2*max(1, l.unit)))
+}
+
+// expected is the time a request sent now would take.
+func (l *Logic) expected(s *server, r *request) Millis {
+	return l.feltUnit(s) * (l.occupancy(s) + r.cost)
+}
+
+func (l *Logic) probe(s *server) {
+	s.probeOut = true
+	l.do(Probe{s.ID})
+}
+
+func (l *Logic) probeEnd(e ProbeEnd) {
+	s := l.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.probeOut = false
+	if e.Result == OK {
+		l.report(s, e.Load, s.inflight)
+	}
+	l.dispatch()
+}
+
+// ---- requests
+
+func (l *Logic) arrive(e Arrival) {
+	c := l.classes[e.Class]
+	if c == nil || l.requests[e.ID] != nil {
+		if c == nil {
+			l.do(Refuse{ID: e.ID})
+		}
+		return
+	}
+	r := &request{id: e.ID, class: c, tenant: l.tenants[e.Tenant], arrived: l.now, expires: e.Expires, cost: 1}
+	if e.Hint > 0 {
+		r.cost = l.hintCost(e.Hint)
+	}
+	l.requests[r.id] = r
+	l.setAim(r, e.Retry)
+	l.countArrival(r, e.Retry)
+	l.hold(r)
+	l.askLoad(r)
+	l.dispatch()
+}
+
+// setAim dates the aim. A try shorter than the longest seen is cut by the client's total wait, so its first
+// try began a hard limit before it expires.
+func (l *Logic) setAim(r *request, retry bool) {
+	c := r.class
+	left := r.expires - l.now
+	c.longestTry = max(c.longestTry, left)
+	aim := c.Aim + c.AimStretch*r.cost*l.unit
+	r.aimAt = l.now + aim
+	if retry && left < c.longestTry-1 {
+		r.aimAt = min(r.aimAt, r.expires-c.HardLimit+aim)
+	}
+	r.late = r.aimAt <= l.now
+}
+
+func (l *Logic) hintCost(hint Millis) float64 {
+	if l.hintMean == 0 {
+		l.hintMean = hint
+	}
+	cost := min(32, max(0.25, hint/l.hintMean))
+	l.hintMean += 0.02 * (min(hint, 4*l.hintMean) - l.hintMean) // heavy ones must not move the mean much
+	return cost
+}
+
+// askLoad probes a few servers, drawn by score, whose load is not freshly known.
+func (l *Logic) askLoad(r *request) {
+	if !l.set.MayProbe || !l.set.Reports || len(l.list) < 2 {
+		return
+	}
+	asked := 0
+	for i := 0; i < probeWidth; i++ {
+		s := l.draw(r, nil)
+		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh {
+			continue
+		}
+		l.probe(s)
+		asked++
+	}
+	if asked > 0 {
+		r.probing = l.now + probeWait
+		l.do(SetTimer{"probes", r.probing})
+	}
+}
+
+func (l *Logic) hold(r *request) {
+	r.held = true
+	l.heldQueue = append(l.heldQueue, r)
+}
+
+// dispatch sends what can make its aim, most valuable first, and gives up at once on what cannot.
+func (l *Logic) dispatch() {
+	if len(l.heldQueue) == 0 {
+		return
+	}
+	queue := l.heldQueue
+	l.heldQueue = nil
+	for _, r := range queue {
+		r.value = l.marginalWorth(r)
+	}
+	sort.SliceStable(queue, func(i, j int) bool { return queue[i].value > queue[j].value })
+	ahead := 0.0
+	probing := l.probesOut()
+	for _, r := range queue {
+		switch {
+		case r.done:
+		case probing && l.now < r.probing:
+			l.heldQueue = append(l.heldQueue, r)
+		case l.trySend(r):
+		case l.hopeless(r, ahead):
+			l.giveUp(r)
+		default:
+			ahead += r.cost
+			l.heldQueue = append(l.heldQueue, r)
+		}
+	}
+	l.wakeSweep()
+}
+
+func (l *Logic) probesOut() bool {
+	for _, s := range l.list {
+		if s.probeOut {
+			return true
+		}
+	}
+	return false
+}
+
+// trySend sends a held request if a server can be expected to answer it in time.
+func (l *Logic) trySend(r *request) bool {
+	s := l.pick(r)
+	if s == nil {
+		return false
+	}
+	l.send(r, s)
+	return true
+}
+
+// timeLeft is the time in which an answer still has its worth.
+func (l *Logic) timeLeft(r *request) Millis {
+	if r.late {
+		return r.expires - l.now
+	}
+	return min(r.aimAt, r.expires) - l.now
+}
+
+// hopeless says that a held request cannot make its aim: refusing early spares servers and clients.
+func (l *Logic) hopeless(r *request, ahead float64) bool {
+	if r.late {
+		return true // nothing but an idle server is spent on it
+	}
+	best, n := math.Inf(1), 0
+	for _, s := range l.list {
+		if l.allowed(r, s) {
+			best = min(best, l.feltUnit(s)*r.cost)
+			n++
+		}
+	}
+	if n == 0 {
+		return true
+	}
+	wait := ahead * l.unit * float64(l.set.Nodes) / float64(n)
+	return wait+best > l.timeLeft(r)
+}
+
+// allowed says whether the rules let this request go to this server at all.
+func (l *Logic) allowed(r *request, s *server) bool {
+	if s.State != Ready || !s.known {
+		return false
+	}
+	if !r.mayRun || r.class.Effect == Safe {
+		return true
+	}
+	if r.class.Effect == Unsafe || l.now >= r.boundTo {
+		return false
+	}
+	switch r.class.Group {
+	case GroupZone:
+		return s.Zone == r.anchor.Zone
+	case GroupCell:
+		return s.Cell == r.anchor.Cell
+	}
+	return true
+}
+
+// eligible adds exclusion and the cold budget. An excluded server gets one trial after its cooldown, from
+// requests that can bear a failure.
+func (l *Logic) eligible(r *request, s *server, all bool) bool {
+	if !l.allowed(r, s) || !l.coldRoom(s, r.cost) {
+		return false
+	}
+	if s.excluded && !all {
+		return l.now >= s.trialAt && !s.trialOut && r.class.Effect == Safe && len(r.attempts) == 0
+	}
+	return !r.tried(s)
+}
+
+// draw takes a server in proportion to score; fits, where given, tells which are to be left out.
+func (l *Logic) draw(r *request, fits func(*server) bool) *server {
+	for _, all := range []bool{false, true} {
+		sum := 0.0
+		for _, s := range l.list {
+			if l.eligible(r, s, all) && (fits == nil || fits(s)) {
+				sum += s.score
+			}
+		}
+		if sum <= 0 {
+			if l.anyOpen() {
+				return nil
+			}
+			continue // all excluded: all eligible
+		}
+		at := l.rng.Float64() * sum
+		var last *server
+		for _, s := range l.list {
+			if l.eligible(r, s, all) && (fits == nil || fits(s)) {
+				last = s
+				if at -= s.score; at < 0 {
+					break
+				}
+			}
+		}
+		return last
+	}
+	return nil
+}
+
+func (l *Logic) anyOpen() bool {
+	for _, s := range l.list {
+		if !s.excluded {
+			return true
+		}
+	}
+	return false
+}
+
+// pick draws a server and redraws while the drawn one is crowded: when a request there would take much
+// longer than at the best. Nil when none would answer in time.
+func (l *Logic) pick(r *request) *server {
+	best := math.Inf(1)
+	for _, s := range l.list {
+		if l.eligible(r, s, !l.anyOpen()) {
+			best = min(best, l.expected(s, r))
+		}
+	}
+	limit := fitShare * l.timeLeft(r)
+	if r.late {
+		limit = min(limit, 1.5*l.unit*r.cost)
+	}
+	if best > limit {
+		return nil
+	}
+	crowded := min(limit, best*redrawFactor)
+	return l.draw(r, func(s *server) bool { return l.expected(s, r) <= crowded })
+}
+
+func (l *Logic) send(r *request, s *server) {
+	s.tokens -= r.cost
+	a := attempt{server: s, sentAt: l.now, occupied: l.occupancy(s) + 1, expected: l.expected(s, r), open: true}
+	if s.excluded {
+		s.trialOut = true
+	}
+	r.attempts = append(r.attempts, a)
+	r.held, r.open = false, r.open+1
+	s.inflight++
+	s.open = append(s.open, r)
+	if r.open == 1 {
+		l.openList = append(l.openList, r)
+	}
+	l.do(Send{ID: r.id, Server: s.ID, StopAt: r.expires})
+	l.wakeSweep()
+}
+
+func (l *Logic) attemptEnd(e AttemptEnd) {
+	r := l.requests[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].open {
+		return
+	}
+	a := &r.attempts[e.Attempt]
+	s := a.server
+	a.open = false
+	r.open--
+	s.inflight--
+	s.drop(r)
+	if s.trialOut && s.excluded {
+		s.trialOut = false
+	}
+	l.report(s, e.Load, s.inflight)
+	l.observe(s, r, a, e.Result, e.Elapsed)
+	if e.Result != Overloaded && e.Result != Unreachable && e.Result != Void {
+		r.ran(a)
+	}
+	switch {
+	case r.done:
+		l.forget(r)
+	case e.Closed || e.Result == OK:
+		if e.Result == OK && l.now <= r.aimAt {
+			l.countServed(r)
+		}
+		l.finish(r)
+	case r.open > 0 || r.held:
+	default:
+		l.again(r, e.Result)
+	}
+	l.dispatch()
+}
+
+// ran marks that an attempt may have run: the first one binds a keyed request's repeats.
+func (r *request) ran(a *attempt) {
+	r.mayRun = true
+	if r.anchor == nil || a.sentAt+r.class.Window < r.boundTo {
+		r.anchor, r.boundTo = a.server, a.sentAt+r.class.Window
+	}
+}
+
+// again decides on a request whose attempts have all ended without an answer.
+func (l *Logic) again(r *request, last Result) {
+	if l.now >= r.expires-l.set.Tick || !l.mayResend(r) || (last != Cancelled && !l.spendRetry()) {
+		l.giveUp(r)
+		return
+	}
+	l.hold(r)
+}
+
+func (l *Logic) mayResend(r *request) bool {
+	return len(r.attempts) < l.set.MaxAttempts && l.now < r.aimAt && (!r.mayRun || r.class.Effect != Unsafe)
+}
+
+func (l *Logic) spendRetry() bool {
+	if l.retries < 1 {
+		return false
+	}
+	l.retries--
+	return true
+}
+
+// giveUp gives the final answer at once: a refusal where a retry is surely harmless, else a failure.
+func (l *Logic) giveUp(r *request) {
+	c := r.class
+	if (r.mayRun || r.open > 0) && (c.Effect == Unsafe || c.Effect == Keyed && c.Group != GroupAll) {
+		l.do(Fail{r.id})
+	} else {
+		l.do(Refuse{ID: r.id, RetryAfter: l.retryAfter()})
+	}
+	l.finish(r)
+}
+
+// retryAfter is when the requests now held will have been worked off.
+func (l *Logic) retryAfter() Millis {
+	if !l.set.RetryAfter || len(l.list) == 0 {
+		return 0
+	}
+	wait := l.unit * float64((len(l.heldQueue)+1)*l.set.Nodes) / float64(len(l.list))
+	return min(l.set.MaxRetryAfter, max(l.unit, wait))
+}
+
+func (l *Logic) finish(r *request) {
+	r.done, r.held = true, false
+	l.forget(r)
+}
+
+func (l *Logic) forget(r *request) {
+	if r.open == 0 {
+		delete(l.requests, r.id)
+	}
+}
+
+// ---- time: held requests and overdue attempts
+
+func (l *Logic) wakeSweep() {
+	if !l.sweeping && (len(l.heldQueue) > 0 || len(l.openList) > 0) {
+		l.sweeping = true
+		l.do(SetTimer{"sweep", l.now + sweepEvery})
+	}
+}
+
+// sweep rescues overdue requests and dispatches what is held.
+func (l *Logic) sweep() {
+	kept := l.openList[:0]
+	for _, r := range l.openList {
+		if r.done || r.open == 0 {
+			continue
+		}
+		kept = append(kept, r)
+		if !r.rescued && !r.streamed {
+			l.rescue(r)
+		}
+	}
+	l.openList = kept
+	l.dispatch()
+	l.wakeSweep()
+}
+
+// rescue answers an attempt that stays out far too long: a second copy where that is allowed, else
+// withdraw and send again, while another server can still make the aim. The budget keeps heavy requests,
+// which are slow anywhere, from taking down one server after another.
+func (l *Logic) rescue(r *request) {
+	a := &r.attempts[len(r.attempts)-1]
+	if l.now-a.sentAt < rescueAt*a.expected || r.class.Effect == Unsafe || !l.mayResend(r) {
+		return
+	}
+	if !l.set.SecondCopies && !l.set.MayCancel {
+		return
+	}
+	if r.class.Effect == Keyed {
+		r.ran(a) // it is out, so it may run: its group and window bind
+	}
+	s := l.pick(r)
+	if s == nil || !l.spendRetry() {
+		return
+	}
+	r.rescued = true
+	if l.set.SecondCopies {
+		l.send(r, s)
+		return
+	}
+	a.cancelled = true
+	l.do(Cancel{r.id, len(r.attempts) - 1})
+}
+
+// ---- worth: who is served when not all can be
+
+// worth is what a timely answer earns.
+func (l *Logic) worth(r *request) float64 {
+	w := r.class.Worth
+	if l.set.CountWork {
+		w *= r.cost
+	}
+	if r.overQuo {
+		w *= l.set.OverShare
+	}
+	return w
+}
+
+// countArrival books a first try to its class and tenant, and tells whether the tenant is over its share.
+// A node that sees more than its part of all traffic scales the quotas alike.
+func (l *Logic) countArrival(r *request, retry bool) {
+	if retry && l.set.MarksRetry {
+		return
+	}
+	l.retries = min(retryBurst, l.retries+retryShare)
+	if t := r.tenant; t != nil && t.Quota > 0 {
+		quota := t.Quota * l.quotaScale()
+		t.tokens = min(quota, t.tokens+quota*(l.now-t.rateAt)/1000)
+		k := math.Exp(-(l.now - t.rateAt) / rateMemory)
+		t.rate = t.rate*k + 1000/rateMemory
+		t.rateAt = l.now
+		if t.tokens < 1 {
+			r.overQuo = true
+		} else {
+			t.tokens--
+		}
+	}
+	l.book(r, func(s *share, w float64) { s.asked += w })
+}
+
+// quotaScale is this node's part of the tenants' quotas.
+func (l *Logic) quotaScale() float64 {
+	rate, quota := 0.0, 0.0
+	for _, t := range l.set.Tenants {
+		st := l.tenants[t.Name]
+		rate += st.rate * math.Exp(-(l.now-st.rateAt)/rateMemory)
+		quota += t.Quota
+	}
+	return max(1/float64(l.set.Nodes), rate/max(1, quota))
+}
+
+func (l *Logic) countServed(r *request) { l.book(r, func(s *share, w float64) { s.served += w }) }
+
+func (l *Logic) book(r *request, add func(*share, float64)) {
+	w := l.worth(r)
+	r.class.decay(l.now)
+	add(&r.class.share, w)
+	if r.tenant != nil && !r.overQuo {
+		r.tenant.decay(l.now)
+		add(&r.tenant.share, w)
+	}
+}
+
+// marginalWorth is what serving a request adds to the operator's goal for each unit of work: its worth in
+// the whole, and more where its class or its tenant is the worst served.
+func (l *Logic) marginalWorth(r *request) float64 {
+	if r.late {
+		return l.set.LateFailPrice * l.worth(r) / max(1e-9, r.cost) / 1e6
+	}
+	total, worstClass, worstTenant := 0.0, 1.0, 1.0
+	for _, c := range l.set.Classes {
+		st := l.classes[c.Name]
+		total += st.asked
+		worstClass = min(worstClass, st.ratio())
+	}
+	for _, t := range l.set.Tenants {
+		worstTenant = min(worstTenant, l.tenants[t.Name].ratio())
+	}
+	g := l.set.Goal
+	gain := (g.Whole + g.WorstWindow + g.Tail) / max(1e-9, total)
+	if r.class.ratio() <= worstClass {
+		gain += g.WorstClass / max(1e-9, r.class.asked)
+	}
+	if r.tenant != nil && !r.overQuo && r.tenant.ratio() <= worstTenant {
+		gain += g.WorstTenant / max(1e-9, r.tenant.asked)
+	}
+	return gain * l.worth(r) / r.cost
+}
--- /dev/null
+++ b/logic/settings.go
@@ -0,0 +1,33 @@
+package logic
+
+import (
+	"errors"
+	"fmt"
+)
+
+// validate names the setting that makes deciding impossible.
+func validate(s Settings) error {
+	switch {
+	case s.Nodes < 1:
+		return errors.New("number of nodes must be at least 1")
+	case len(s.Classes) == 0:
+		return errors.New("no classes of request")
+	case s.MaxAttempts < 1:
+		return errors.New("attempts per request must be at least 1")
+	case s.ColdFrom < 0 || s.ColdFrom > 1:
+		return errors.New("cold starting share must lie in 0 to 1")
+	case s.ColdFor < 0 || s.FallFor < 0 || s.FallMultiple <= 0:
+		return errors.New("cold server figures must be positive")
+	case s.DrainGrace < 0:
+		return errors.New("drain grace must not be negative")
+	}
+	for _, c := range s.Classes {
+		if c.Aim <= 0 || c.HardLimit <= 0 {
+			return fmt.Errorf("class %q: aim and hard limit must be positive", c.Name)
+		}
+		if c.Effect == Keyed && c.Window <= 0 {
+			return fmt.Errorf("class %q: a keyed class needs a window", c.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,160 @@
+package logic
+
+// What a node remembers, and plain bookkeeping over it. No decisions: those are in logic.go.
+
+import "math"
+
+// attempt is one send of a request.
+type attempt struct {
+	server    *server
+	sentAt    Millis
+	occupied  float64 // requests expected at the server, this one included, when it was sent
+	expected  Millis
+	open      bool
+	cancelled bool
+}
+
+// request is one request in this node's hands.
+type request struct {
+	id       RequestID
+	class    *classState
+	tenant   *tenantState
+	arrived  Millis
+	expires  Millis
+	aimAt    Millis
+	cost     float64 // work relative to the mean request
+	overQuo  bool
+	late     bool // its aim had passed when it came
+	attempts []attempt
+	open     int
+	done     bool
+	held     bool
+	streamed bool
+	rescued  bool
+	probing  Millis // waits for probe results until then
+	mayRun   bool   // some attempt may have run
+	anchor   *server
+	boundTo  Millis // keyed: resending is allowed until then
+	value    float64
+}
+
+// share follows what was asked for and what was served in time, forgetting slowly.
+type share struct {
+	asked, served float64
+	at            Millis
+}
+
+type classState struct {
+	Class
+	share
+	longestTry Millis // longest time a try was given: a shorter one is cut by the client's total
+}
+
+type tenantState struct {
+	Tenant
+	share
+	rate   float64 // first tries a second, smoothed
+	rateAt Millis
+	tokens float64
+}
+
+type bucket struct {
+	index    int64
+	ok, fail int
+}
+
+// server is all this node knows of one server.
+type server struct {
+	ServerEntry
+	known     bool
+	latency   Millis // smoothed; failures are charged a time cost
+	unit      Millis // time for each request in its hands: its speed as felt from here
+	seen      bool   // unit stems from its own outcomes
+	outcomeAt Millis
+	buckets   [bucketCount]bucket
+	recent    [recentCount]bool
+	recentLen int
+	recentPos int
+	failures  int // consecutive
+	excluded  bool
+	trialAt   Millis
+	trialOut  bool
+	score     float64
+	inflight  int
+	open      []*request // with an attempt out here, oldest first
+	others    float64    // requests of other nodes, by the latest report
+	othersAvg float64
+	reportAt  Millis
+	probeOut  bool
+	tokens    float64 // cold budget left
+	tokensAt  Millis
+}
+
+func (s *server) window(now Millis) (ok, fail int) {
+	index := int64(now / bucketLen)
+	for _, b := range s.buckets {
+		if index-b.index < bucketCount {
+			ok, fail = ok+b.ok, fail+b.fail
+		}
+	}
+	return ok, fail
+}
+
+func (s *server) recentRate() float64 {
+	if s.recentLen == 0 {
+		return 1
+	}
+	good := 0
+	for i := 0; i < s.recentLen; i++ {
+		if s.recent[i] {
+			good++
+		}
+	}
+	return float64(good) / float64(s.recentLen)
+}
+
+func (s *server) note(now Millis, good bool) {
+	index := int64(now / bucketLen)
+	b := &s.buckets[((index%bucketCount)+bucketCount)%bucketCount]
+	if b.index != index {
+		*b = bucket{index: index}
+	}
+	if good {
+		b.ok++
+	} else {
+		b.fail++
+	}
+	s.recent[s.recentPos] = good
+	s.recentPos = (s.recentPos + 1) % recentCount
+	s.recentLen = min(s.recentLen+1, recentCount)
+}
+
+func (r *request) tried(s *server) bool {
+	for i := range r.attempts {
+		if r.attempts[i].server == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *server) drop(r *request) {
+	for i, o := range s.open {
+		if o == r {
+			s.open = append(s.open[:i], s.open[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *share) decay(now Millis) {
+	k := math.Exp(-(now - s.at) / goalMemory)
+	s.asked, s.served, s.at = s.asked*k, s.served*k, now
+}
+
+func (s *share) ratio() float64 {
+	if s.asked <= 0 {
+		return 1
+	}
+	return s.served / s.asked
+}
