Blame a class that alone fails at a server on the class, not on the server

The losses looked like silence, so those servers were shunned and their capacity went unused. Now a class's failures at a server are priced as time for that class alone, and its silence is not held against the server while other classes are served.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 )
 
@@ -27,12 +28,15 @@
 	cooldown     = 10000 // the document's latency-sensitive profile
 	maxExcluded  = 0.5   // beyond this share the cause is shared, or is us: survivors would topple
 
-	latencyGain = 0.2 // smoothing of latency and unit time: about the last five outcomes
+	latencyGain = 0.2  // smoothing of latency and unit time: about the last five outcomes
+	classWorse  = 0.35 // one failure of a class at a server is a warning; two are believed
+	classGood   = 0.1  // and many successes are needed to forget them
+	classFaulty = 0.3
+	classMemory = 3 * cooldown // a trial of a class that must not run twice may cost a request
 	staleAfter  = 2000.0
 	staleDecay  = 4000.0 // a shunned server's unit time returns to the fleet's over some seconds
 
 	redrawFactor = 1.3  // a draw is repeated when its expected time exceeds the best by so much
-	redrawLimit  = 16   // enough draws to find an uncrowded server among dozens
 	fitShare     = 0.75 // expected share of the time left that a first send may use; the rest is variance
 	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
 	probeWait    = 4.0  // several round trips in one site, and still little of any aim
@@ -41,6 +45,7 @@
 	sweepEvery   = 10.0 // how often held and overdue requests are looked at, while there are any
 	retryShare   = 0.1  // further attempts per first try: client retries multiply them already
 	retryBurst   = 5.0
+	overtakenAt  = 2.0  // an attempt this late by its expectation, with later sends answered, is lost or heavy
 	rescueAt     = 2.5  // an attempt is overdue at this multiple of its expected time
 	coldMargin   = 0.6  // of the cold budget; our capacity estimate may be off by half
 	coldBurst    = 0.25 // of a window's budget at once; the rest is spread within it
@@ -57,7 +62,8 @@
 	now       Millis
 	out       []Action
 	servers   map[ServerID]*server
-	list      []*server // ready, in the order first heard of
+	known     []*server // in the order first heard of
+	list      []*server // of these, the ready ones
 	classes   map[string]*classState
 	tenants   map[string]*tenantState
 	requests  map[RequestID]*request
@@ -65,7 +71,6 @@
 	openList  []*request
 	started   bool
 	sweeping  bool
-	cycling   bool
 	askDelay  Millis
 	askAt     Millis
 	asking    bool
@@ -73,7 +78,7 @@
 	retries   float64 // tokens for further attempts
 	unit      Millis  // typical unit time over servers
 	hintMean  Millis
-	shedding  bool
+	pool      []*server // scratch space of candidates
 	shared    bool
 }
 
@@ -86,8 +91,8 @@
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: retryBurst, askDelay: askFirstWait}
 	l.unit = math.Inf(1)
-	for _, c := range set.Classes {
-		l.classes[c.Name] = &classState{Class: c}
+	for i, c := range set.Classes {
+		l.classes[c.Name] = &classState{Class: c, index: i}
 		l.unit = min(l.unit, c.Aim/4) // until measured: four requests make an aim
 	}
 	for _, t := range set.Tenants {
@@ -181,16 +186,17 @@
 	named := map[ServerID]bool{}
 	for _, entry := range e.Entries {
 		named[entry.ID] = true
-		l.learn(entry, e.Form)
+		l.learn(entry)
 	}
-	if e.Form != ListDelta {
-		for _, s := range l.list {
-			if !named[s.ID] {
-				s.State = Gone
-			}
+	l.list = l.list[:0]
+	for _, s := range l.known {
+		if e.Form != ListDelta && !named[s.ID] {
+			s.State = Gone
+		}
+		if s.State == Ready {
+			l.list = append(l.list, s)
 		}
 	}
-	l.relist()
 	l.runScores()
 	l.dispatch()
 }
@@ -208,53 +214,33 @@
 }
 
 // learn takes in one entry. A server that started anew begins without a past.
-func (l *Logic) learn(e ServerEntry, form ListForm) {
+func (l *Logic) learn(e ServerEntry) {
 	s := l.servers[e.ID]
-	if s == nil || (e.State == Ready && e.Started != s.Started) {
-		fresh := &server{ServerEntry: e, tokensAt: l.now, outcomeAt: l.now}
-		if s != nil {
-			for i, x := range l.list {
-				if x == s {
-					l.list[i] = fresh
-				}
-			}
-		}
-		l.servers[e.ID] = fresh
-		s = fresh
-		l.newcomer(s)
-	}
-	s.ServerEntry = e
-	if !s.known && s.State == Ready {
-		s.known = true
-		l.list = append(l.list, s)
+	if s != nil && (e.State != Ready || e.Started == s.Started) {
+		s.ServerEntry = e
+		return
 	}
-}
-
-func (l *Logic) relist() {
-	seen := map[*server]bool{}
-	kept := l.list[:0]
-	for _, s := range l.list {
-		s.known = s.State == Ready && l.servers[s.ID] == s && !seen[s]
-		if s.known {
-			kept = append(kept, s)
-		}
-		seen[s] = true
+	fresh := &server{ServerEntry: e, tokensAt: l.now, outcomeAt: l.now}
+	fresh.unit = l.typicalUnit(fresh)
+	fresh.latency = fresh.unit
+	l.newcomer(fresh)
+	if l.servers[e.ID] = fresh; s == nil {
+		l.known = append(l.known, fresh)
+		return
 	}
-	l.list = kept
+	l.known[slices.Index(l.known, s)] = fresh
 }
 
-// newcomer starts a server at the others' mean score, with the typical unit time for its size.
+// newcomer starts a server at the others' mean score.
 func (l *Logic) newcomer(s *server) {
-	s.unit = l.typicalUnit(s)
-	s.latency = s.unit
-	sum, n := 0.0, 0
+	sum, n := 0.0, 0.0
 	for _, o := range l.list {
-		if o != s && o.score > 0 {
+		if o != s {
 			sum, n = sum+o.score, n+1
 		}
 	}
 	if s.score = 1; n > 0 {
-		s.score = sum / float64(n)
+		s.score = sum / n
 	}
 }
 
@@ -297,11 +283,6 @@
 
 func (l *Logic) runCycle() {
 	l.runScores()
-	for _, s := range l.list {
-		if s.excluded && l.now >= s.trialAt && l.set.MayProbe && !s.probeOut && !s.trialOut {
-			l.probe(s)
-		}
-	}
 	l.dispatch()
 }
 
@@ -357,24 +338,22 @@
 	return base + (v-base)*math.Exp(-idle/staleDecay)
 }
 
-// overdue is the age of the oldest attempt out at a server, or its age for each request ahead of it.
+// overdue is how long a server has kept silent over its oldest attempt: alone, or for each request ahead of
+// it. Answers to later sends end the silence: then that one request is lost or heavy, and the server is not
+// to be shunned for it.
 func (l *Logic) overdue(s *server, each bool) Millis {
-	worst := 0.0
-	for _, r := range s.open {
-		for i := range r.attempts {
-			a := &r.attempts[i]
-			if a.server != s || !a.open {
-				continue
-			}
-			age := l.now - a.sentAt
-			if each {
-				age /= max(1, a.occupied) * max(1, r.cost)
-			}
-			worst = max(worst, age)
-		}
-		break // the oldest tells most; the rest queue behind it
+	r, a := s.oldest()
+	if a == nil {
+		return 0
+	}
+	if l.classFault(s, r.class) {
+		return 0
+	}
+	silent := l.now - max(a.sentAt, s.outcomeAt)
+	if each {
+		silent /= max(1, a.occupied-1+r.cost)
 	}
-	return worst
+	return silent
 }
 
 // observe books an attempt's outcome to its server's health.
@@ -383,29 +362,66 @@
 		return // tells nothing of the server
 	}
 	good := result == OK
+	if l.noteClass(s, r.class, result) && !good {
+		return
+	}
 	if result != Cancelled {
 		s.note(l.now, good)
 	}
 	felt := elapsed
-	if !good { // a quick error must not look like a quick answer
-		felt = max(elapsed, r.class.Aim)
+	if !good { // a quick error must not look like a quick answer, a lost one not like a long queue
+		felt = r.class.Aim
 	}
 	gain := latencyGain
 	if !s.seen {
 		gain = 0.5
 	}
 	s.latency += gain * (felt - s.latency)
-	if good || result == TimedOut || result == Cancelled {
-		unit := elapsed / (max(1, a.occupied-1+r.cost))
-		if good || unit > s.unit {
-			s.unit += gain * (unit - s.unit)
-		}
-		s.seen = s.seen || good
+	unit := elapsed / (max(1, a.occupied-1+r.cost))
+	if good || (result == TimedOut || result == Cancelled) && unit > s.unit && !a.overtaken {
+		s.unit += gain * (unit - s.unit)
 	}
+	s.seen = s.seen || good
 	s.outcomeAt = l.now
 	l.judge(s, result)
 }
 
+// classBad is a class's failure share at a server, forgotten slowly. It is priced as time when servers are
+// compared: a server may fail or lose one class and serve the others well.
+func (l *Logic) classBad(s *server, c *classState) float64 {
+	h := s.class(c)
+	return h.bad * math.Exp(-(l.now-h.at)/classMemory)
+}
+
+// noteClass books an outcome to its class and tells whether the fault is the class's own at this server: it
+// fails there while another class is served well. Such failures, and such silence, say nothing about the
+// server; counting them would shun a server that is good for all the rest.
+func (l *Logic) noteClass(s *server, c *classState, result Result) bool {
+	if result == Overloaded || result == Cancelled {
+		return false
+	}
+	h := s.class(c)
+	h.bad, h.tried = l.classBad(s, c), true
+	if h.at = l.now; result == OK {
+		h.bad -= classGood * h.bad
+		return false
+	}
+	h.bad += classWorse * (1 - h.bad)
+	return l.classFault(s, c)
+}
+
+func (l *Logic) classFault(s *server, c *classState) bool {
+	if l.classBad(s, c) < classFaulty {
+		return false
+	}
+	for i := range s.classes {
+		if h := &s.classes[i]; i != c.index && h.tried && h.bad < classFaulty/3 {
+			return true
+		}
+	}
+	return false
+}
+
 // judge applies the exclusion triggers and the trial. Refusals because a server is full are load, not a
 // fault: excluding for them would topple the next server.
 func (l *Logic) judge(s *server, result Result) {
@@ -448,15 +464,8 @@
 func (l *Logic) readmit(s *server) {
 	s.excluded, l.shared = false, false
 	s.buckets, s.recentLen, s.recentPos = [bucketCount]bucket{}, 0, 0
-	s.score = 0
-	l.newcomerScore(s)
-	l.logf("readmitted %s after its trial", s.ID)
-}
-
-func (l *Logic) newcomerScore(s *server) {
-	unit, latency := s.unit, s.latency
 	l.newcomer(s)
-	s.unit, s.latency = unit, latency
+	l.logf("readmitted %s after its trial", s.ID)
 }
 
 // ---- load: what a server has in hand and how long a send would take
@@ -473,7 +482,7 @@
 // occupancy estimates the requests a server has in hand. Reports age toward their mean; without any the
 // other nodes are taken to send as much as this one.
 func (l *Logic) occupancy(s *server) float64 {
-	own := float64(s.inflight)
+	own := float64(s.inflight - s.overtaken)
 	if !l.set.Reports {
 		return own * float64(l.set.Nodes)
 	}
@@ -557,8 +566,9 @@
 		return
 	}
 	asked := 0
+	open := l.candidates(r)
 	for i := 0; i < probeWidth; i++ {
-		s := l.draw(r, nil)
+		s := l.draw(open)
 		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh {
 			continue
 		}
@@ -653,7 +663,7 @@
 
 // allowed says whether the rules let this request go to this server at all.
 func (l *Logic) allowed(r *request, s *server) bool {
-	if s.State != Ready || !s.known {
+	if s.State != Ready {
 		return false
 	}
 	if !r.mayRun || r.class.Effect == Safe {
@@ -671,83 +681,77 @@
 	return true
 }
 
-// eligible adds exclusion and the cold budget. An excluded server gets one trial after its cooldown, from
-// requests that can bear a failure.
-func (l *Logic) eligible(r *request, s *server, all bool) bool {
-	if !l.allowed(r, s) || !l.coldRoom(s, r.cost) {
-		return false
-	}
-	if s.excluded && !all {
-		return l.now >= s.trialAt && !s.trialOut && r.class.Effect == Safe && len(r.attempts) == 0
-	}
-	return !r.tried(s)
-}
-
-// draw takes a server in proportion to score; fits, where given, tells which are to be left out.
-func (l *Logic) draw(r *request, fits func(*server) bool) *server {
-	for _, all := range []bool{false, true} {
-		sum := 0.0
-		for _, s := range l.list {
-			if l.eligible(r, s, all) && (fits == nil || fits(s)) {
-				sum += s.score
-			}
+// candidates are the servers a request may be drawn to: allowed, with cold budget left, not excluded, not
+// tried. An excluded server gets one trial after its cooldown, by a request that can bear a failure. When
+// all are excluded, all are candidates.
+func (l *Logic) candidates(r *request) []*server {
+	open, all := l.pool[:0], true
+	for _, s := range l.list {
+		if all = all && s.excluded; !all {
+			break
 		}
-		if sum <= 0 {
-			if l.anyOpen() {
-				return nil
-			}
-			continue // all excluded: all eligible
+	}
+	for _, s := range l.list {
+		if !l.allowed(r, s) || !l.coldRoom(s, r.cost) || r.tried(s) {
+			continue
 		}
-		at := l.rng.Float64() * sum
-		var last *server
-		for _, s := range l.list {
-			if l.eligible(r, s, all) && (fits == nil || fits(s)) {
-				last = s
-				if at -= s.score; at < 0 {
-					break
-				}
-			}
+		trial := l.now >= s.trialAt && s.inflight == 0 && r.class.Effect == Safe && len(r.attempts) == 0
+		if all || !s.excluded || trial {
+			open = append(open, s)
 		}
-		return last
 	}
-	return nil
+	l.pool = open
+	return open
 }
 
-func (l *Logic) anyOpen() bool {
-	for _, s := range l.list {
-		if !s.excluded {
-			return true
+// draw takes one of the servers in proportion to score.
+func (l *Logic) draw(from []*server) *server {
+	sum := 0.0
+	for _, s := range from {
+		sum += s.score
+	}
+	at := l.rng.Float64() * sum
+	for _, s := range from {
+		if at -= s.score; at < 0 {
+			return s
 		}
 	}
-	return false
+	if len(from) == 0 {
+		return nil
+	}
+	return from[len(from)-1]
 }
 
 // pick draws a server and redraws while the drawn one is crowded: when a request there would take much
 // longer than at the best. Nil when none would answer in time.
 func (l *Logic) pick(r *request) *server {
-	best := math.Inf(1)
-	for _, s := range l.list {
-		if l.eligible(r, s, !l.anyOpen()) {
-			best = min(best, l.expected(s, r))
-		}
-	}
 	limit := fitShare * l.timeLeft(r)
 	if r.late {
 		limit = min(limit, 1.5*l.unit*r.cost)
 	}
-	if best > limit {
-		return nil
+	best, open := math.Inf(1), l.candidates(r)
+	fit := open[:0]
+	for _, s := range open {
+		if s.expect = l.expected(s, r); s.expect <= limit {
+			s.price = s.expect + l.classBad(s, r.class)*r.class.Aim
+			best = min(best, s.price)
+			fit = append(fit, s)
+		}
 	}
-	crowded := min(limit, best*redrawFactor)
-	return l.draw(r, func(s *server) bool { return l.expected(s, r) <= crowded })
+	for len(fit) > 0 {
+		s := l.draw(fit)
+		if s.price <= best*redrawFactor {
+			return s
+		}
+		i := slices.Index(fit, s)
+		fit = append(fit[:i], fit[i+1:]...)
+	}
+	return nil
 }
 
 func (l *Logic) send(r *request, s *server) {
 	s.tokens -= r.cost
 	a := attempt{server: s, sentAt: l.now, occupied: l.occupancy(s) + 1, expected: l.expected(s, r), open: true}
-	if s.excluded {
-		s.trialOut = true
-	}
 	r.attempts = append(r.attempts, a)
 	r.held, r.open = false, r.open+1
 	s.inflight++
@@ -770,8 +774,11 @@
 	r.open--
 	s.inflight--
 	s.drop(r)
-	if s.trialOut && s.excluded {
-		s.trialOut = false
+	if a.overtaken {
+		s.overtaken--
+	}
+	if e.Result == OK {
+		l.markOvertaken(s, a)
 	}
 	l.report(s, e.Load, s.inflight)
 	l.observe(s, r, a, e.Result, e.Elapsed)
@@ -793,6 +800,21 @@
 	l.dispatch()
 }
 
+// markOvertaken takes attempts out of the count in flight when a much later send was answered first: an
+// answer that got lost must not make its server look busy until the client gives up.
+func (l *Logic) markOvertaken(s *server, done *attempt) {
+	for _, r := range s.open {
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			if a.server == s && a.open && !a.overtaken && a.sentAt < done.sentAt &&
+				l.now-a.sentAt > overtakenAt*a.expected {
+				a.overtaken = true
+				s.overtaken++
+			}
+		}
+	}
+}
+
 // ran marks that an attempt may have run: the first one binds a keyed request's repeats.
 func (r *request) ran(a *attempt) {
 	r.mayRun = true
@@ -902,7 +924,6 @@
 		l.send(r, s)
 		return
 	}
-	a.cancelled = true
 	l.do(Cancel{r.id, len(r.attempts) - 1})
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -11,7 +11,7 @@
 	occupied  float64 // requests expected at the server, this one included, when it was sent
 	expected  Millis
 	open      bool
-	cancelled bool
+	overtaken bool // the server has long since answered later sends: lost or heavy
 }
 
 // request is one request in this node's hands.
@@ -47,6 +47,7 @@
 type classState struct {
 	Class
 	share
+	index      int
 	longestTry Millis // longest time a try was given: a shorter one is cut by the client's total
 }
 
@@ -66,28 +67,29 @@
 // server is all this node knows of one server.
 type server struct {
 	ServerEntry
-	known     bool
-	latency   Millis // smoothed; failures are charged a time cost
-	unit      Millis // time for each request in its hands: its speed as felt from here
-	seen      bool   // unit stems from its own outcomes
-	outcomeAt Millis
-	buckets   [bucketCount]bucket
-	recent    [recentCount]bool
-	recentLen int
-	recentPos int
-	failures  int // consecutive
-	excluded  bool
-	trialAt   Millis
-	trialOut  bool
-	score     float64
-	inflight  int
-	open      []*request // with an attempt out here, oldest first
-	others    float64    // requests of other nodes, by the latest report
-	othersAvg float64
-	reportAt  Millis
-	probeOut  bool
-	tokens    float64 // cold budget left
-	tokensAt  Millis
+	latency       Millis // smoothed; failures are charged a time cost
+	unit          Millis // time for each request in its hands: its speed as felt from here
+	seen          bool   // unit stems from its own outcomes
+	outcomeAt     Millis
+	buckets       [bucketCount]bucket
+	recent        [recentCount]bool
+	recentLen     int
+	recentPos     int
+	failures      int // consecutive
+	excluded      bool
+	trialAt       Millis
+	score         float64
+	classes       []classHealth // by the class's index
+	inflight      int
+	expect, price Millis     // of the request being placed
+	overtaken     int        // of these, attempts that later sends have long overtaken
+	open          []*request // with an attempt out here, oldest first
+	others        float64    // requests of other nodes, by the latest report
+	othersAvg     float64
+	reportAt      Millis
+	probeOut      bool
+	tokens        float64 // cold budget left
+	tokensAt      Millis
 }
 
 func (s *server) window(now Millis) (ok, fail int) {
@@ -158,3 +160,31 @@
 	}
 	return s.served / s.asked
 }
+
+// oldest is the longest outstanding attempt that no later send has overtaken.
+func (s *server) oldest() (*request, *attempt) {
+	for _, r := range s.open {
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			if a.server == s && a.open && !a.overtaken {
+				return r, a
+			}
+		}
+	}
+	return nil, nil
+}
+
+// classHealth follows one class's outcomes at one server.
+type classHealth struct {
+	bad   float64 // smoothed failure share
+	tried bool
+	at    Millis
+}
+
+// class gives a class's health at this server.
+func (s *server) class(c *classState) *classHealth {
+	for len(s.classes) <= c.index {
+		s.classes = append(s.classes, classHealth{})
+	}
+	return &s.classes[c.index]
+}
