--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,9 +38,12 @@
 
 	redrawFactor = 1.3  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.75 // expected share of the time left that a first send may use; the rest is variance
-	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
-	probeWait    = 4.0  // several round trips in one site, and still little of any aim
-	reportFresh  = 8.0  // a report younger than this needs no probe
+	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
+	spareRisk    = 2.0  // an idle server may be tried at (1 + this x the idle share) of the time left: spare
+	// capacity buys the chance that a request is lighter than it seems
+	probeWidth  = 3   // servers asked for their load before a send: most of the gain of asking all
+	probeWait   = 4.0 // several round trips in one site, and still little of any aim
+	reportFresh = 8.0 // a report younger than this needs no probe
 
 	sweepEvery   = 10.0 // how often held and overdue requests are looked at, while there are any
 	retryShare   = 0.1  // further attempts per first try: client retries multiply them already
@@ -658,7 +661,7 @@
 		return true
 	}
 	wait := ahead * l.unit * float64(l.set.Nodes) / float64(n)
-	return wait+best > l.timeLeft(r)
+	return wait+best > l.idleRisk()*l.timeLeft(r)
 }
 
 // allowed says whether the rules let this request go to this server at all.
@@ -722,6 +725,17 @@
 	return from[len(from)-1]
 }
 
+// idleRisk is the expected share of the time left at which an idle server may still be tried.
+func (l *Logic) idleRisk() float64 {
+	n := 0.0
+	for _, s := range l.list {
+		if l.occupancy(s) < idle {
+			n++
+		}
+	}
+	return 1 + spareRisk*n/max(1, float64(len(l.list)))
+}
+
 // pick draws a server and redraws while the drawn one is crowded: when a request there would take much
 // longer than at the best. Nil when none would answer in time.
 func (l *Logic) pick(r *request) *server {
@@ -729,10 +743,11 @@
 	if r.late {
 		limit = min(limit, 1.5*l.unit*r.cost)
 	}
-	best, open := math.Inf(1), l.candidates(r)
+	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
 	for _, s := range open {
-		if s.expect = l.expected(s, r); s.expect <= limit {
+		s.expect = l.expected(s, r)
+		if s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
 			s.price = s.expect + l.classBad(s, r.class)*r.class.Aim
 			best = min(best, s.price)
 			fit = append(fit, s)
@@ -916,7 +931,7 @@
 		r.ran(a) // it is out, so it may run: its group and window bind
 	}
 	s := l.pick(r)
-	if s == nil || !l.spendRetry() {
+	if s == nil || s.expect > l.timeLeft(r) || !l.spendRetry() {
 		return
 	}
 	r.rescued = true
