--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,23 +39,24 @@
 	redrawFactor = 1.3  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.75 // expected share of the time left that a first send may use; the rest is variance
 	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
-	spareRisk    = 2.0  // an idle server may be tried at (1 + this x the idle share) of the time left: spare
+	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left: spare
 	// capacity buys the chance that a request is lighter than it seems
 	probeWidth  = 3   // servers asked for their load before a send: most of the gain of asking all
 	probeWait   = 4.0 // several round trips in one site, and still little of any aim
 	reportFresh = 8.0 // a report younger than this needs no probe
 
-	sweepEvery   = 10.0 // how often held and overdue requests are looked at, while there are any
-	retryShare   = 0.1  // further attempts per first try: client retries multiply them already
-	retryBurst   = 5.0
-	overtakenAt  = 2.0  // an attempt this late by its expectation, with later sends answered, is lost or heavy
-	rescueAt     = 2.5  // an attempt is overdue at this multiple of its expected time
-	coldMargin   = 0.6  // of the cold budget; our capacity estimate may be off by half
-	coldBurst    = 0.25 // of a window's budget at once; the rest is spread within it
-	askFirstWait = 200.0
-	askLongest   = 5000.0
-	goalMemory   = 30000.0 // time constant of the served shares per class and tenant
-	rateMemory   = 3000.0  // time constant of the tenants' rates
+	sweepEvery     = 10.0 // how often held and overdue requests are looked at, while there are any
+	retryShare     = 0.1  // further attempts per first try: client retries multiply them already
+	retryBurst     = 5.0
+	overtakenAt    = 2.0  // an attempt this late by its expectation, with later sends answered, is lost or heavy
+	silentFailures = 2    // failures in a row that make a silent server suspect, not the request
+	rescueAt       = 2.5  // an attempt is overdue at this multiple of its expected time
+	coldMargin     = 0.6  // of the cold budget; our capacity estimate may be off by half
+	coldBurst      = 0.25 // of a window's budget at once; the rest is spread within it
+	askFirstWait   = 200.0
+	askLongest     = 5000.0
+	goalMemory     = 30000.0 // time constant of the served shares per class and tenant
+	rateMemory     = 3000.0  // time constant of the tenants' rates
 )
 
 // Logic decides for one node. It is pure: time and chance come in through Step and New.
@@ -733,7 +734,7 @@
 			n++
 		}
 	}
-	return 1 + spareRisk*n/max(1, float64(len(l.list)))
+	return fitShare + spareRisk*n/max(1, float64(len(l.list)))
 }
 
 // pick draws a server and redraws while the drawn one is crowded: when a request there would take much
@@ -924,8 +925,8 @@
 	if l.now-a.sentAt < rescueAt*a.expected || r.class.Effect == Unsafe || !l.mayResend(r) {
 		return
 	}
-	if !l.set.SecondCopies && !l.set.MayCancel {
-		return
+	if !l.set.SecondCopies && (!l.set.MayCancel || a.server.failures < silentFailures) {
+		return // one slow answer is a heavy request: withdrawing throws its work away and doubles it
 	}
 	if r.class.Effect == Keyed {
 		r.ran(a) // it is out, so it may run: its group and window bind
