Exclude by who else is well, and let only the trial readmit

Exclusion now asks whether enough others are well, trips after three failures, and only a send after the cooldown counts as the trial. Unreachable servers cost no retry budget.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,11 +22,12 @@
 	bucketCount  = 10    // the error window is ten buckets of a second: the design's 10 s
 	bucketLen    = 1000.0
 	recentCount  = 10    // outcomes that make the recent success rate, as the design has it
-	tripFailures = 5     // consecutive failures that exclude a server
+	tripFailures = 3     // consecutive failures that exclude a server: the document's latency-sensitive profile
 	tripRate     = 0.5   // error rate that excludes one ...
 	tripMinimum  = 20    // ... over at least so many outcomes
 	cooldown     = 10000 // the document's latency-sensitive profile
-	maxExcluded  = 0.5   // beyond this share the cause is shared, or is us: survivors would topple
+	wellRate     = 0.5   // a server is well while at least half its recent outcomes are
+	wellShare    = 0.3   // of those left: fewer, and the cause is shared
 
 	latencyGain = 0.2  // smoothing of latency and unit time: about the last five outcomes
 	classWorse  = 0.35 // one failure of a class at a server is a warning; two are believed
@@ -387,7 +388,7 @@
 	}
 	s.seen = s.seen || good
 	s.outcomeAt = l.now
-	l.judge(s, result)
+	l.judge(s, result, a.sentAt)
 }
 
 // classBad is a class's failure share at a server, forgotten slowly. It is priced as time when servers are
@@ -428,8 +429,10 @@
 
 // judge applies the exclusion triggers and the trial. Refusals because a server is full are load, not a
 // fault: excluding for them would topple the next server.
-func (l *Logic) judge(s *server, result Result) {
+func (l *Logic) judge(s *server, result Result, sentAt Millis) {
 	switch {
+	case s.excluded && sentAt < s.trialAt:
+		return // sent before the exclusion: not the trial
 	case result == OK:
 		s.failures = 0
 		if s.excluded {
@@ -448,16 +451,10 @@
 	if s.failures < tripFailures && (ok+fail < tripMinimum || float64(fail) < tripRate*float64(ok+fail)) {
 		return
 	}
-	out := 1
-	for _, o := range l.list {
-		if o.excluded {
-			out++
-		}
-	}
-	if float64(out) > maxExcluded*float64(len(l.list)) {
+	if !l.othersWell(s) {
 		if !l.shared {
 			l.shared = true
-			l.logf("half the servers fail: a shared cause or this node; excluding no more")
+			l.logf("no server is well: a shared cause or this node; excluding no more")
 		}
 		return
 	}
@@ -465,6 +462,21 @@
 	l.logf("excluded %s: %d failures in a row, %d of %d in the window", s.ID, s.failures, fail, ok+fail)
 }
 
+// othersWell says that servers remain whose recent outcomes are good. Where none is left the cause is shared,
+// or is this node, and excluding would only heap the load on the last.
+func (l *Logic) othersWell(s *server) bool {
+	well, left := 0, 0
+	for _, o := range l.list {
+		if o != s && !o.excluded {
+			left++
+			if o.recentLen > 0 && o.recentRate() >= wellRate {
+				well++
+			}
+		}
+	}
+	return well > 0 && float64(well) >= wellShare*float64(left)
+}
+
 func (l *Logic) readmit(s *server) {
 	s.excluded, l.shared = false, false
 	s.buckets, s.recentLen, s.recentPos = [bucketCount]bucket{}, 0, 0
@@ -839,9 +851,10 @@
 	}
 }
 
-// again decides on a request whose attempts have all ended without an answer.
+// again decides on a request whose attempts have all ended without an answer. An unreachable server had no
+// work of it, so going on costs no budget.
 func (l *Logic) again(r *request, last Result) {
-	if l.now >= r.expires-l.set.Tick || !l.mayResend(r) || (last != Cancelled && !l.spendRetry()) {
+	if l.now >= r.expires-l.set.Tick || !l.mayResend(r) || (last != Cancelled && last != Unreachable && !l.spendRetry()) {
 		l.giveUp(r)
 		return
 	}
