--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	staleDecay  = 4000.0 // a shunned server's unit time returns to the fleet's over some seconds
 
 	redrawFactor = 1.3  // a draw is repeated when its expected time exceeds the best by so much
-	fitShare     = 0.75 // expected share of the time left that a first send may use; the rest is variance
+	fitShare     = 0.45 // expected share of the time left that a first send may use; the rest is variance
 	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
 	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left: spare
 	// capacity buys the chance that a request is lighter than it seems
