--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,19 +37,17 @@
 	staleAfter  = 2000.0
 	staleDecay  = 4000.0 // a shunned server's unit time returns to the fleet's over some seconds
 
-	redrawFactor = 1.3  // a draw is repeated when its expected time exceeds the best by so much
+	redrawFactor = 1.5  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.45 // expected share of the time left that a first send may use; the rest is variance
 	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
-	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left: spare
-	// capacity buys the chance that a request is lighter than it seems
-	probeWidth  = 3   // servers asked for their load before a send: most of the gain of asking all
-	probeWait   = 4.0 // several round trips in one site, and still little of any aim
-	reportFresh = 8.0 // a report younger than this needs no probe
+	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left
+	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
+	probeWait    = 4.0  // several round trips in one site, and still little of any aim
+	reportFresh  = 8.0  // a report younger than this needs no probe
 
 	sweepEvery     = 10.0 // how often held and overdue requests are looked at, while there are any
 	retryShare     = 0.1  // further attempts per first try: client retries multiply them already
 	retryBurst     = 5.0
-	overtakenAt    = 2.0  // an attempt this late by its expectation, with later sends answered, is lost or heavy
 	silentFailures = 2    // failures in a row that make a silent server suspect, not the request
 	rescueAt       = 2.5  // an attempt is overdue at this multiple of its expected time
 	coldMargin     = 0.6  // of the cold budget; our capacity estimate may be off by half
@@ -60,33 +58,6 @@
 	rateMemory     = 3000.0  // time constant of the tenants' rates
 )
 
-// Logic decides for one node. It is pure: time and chance come in through Step and New.
-type Logic struct {
-	set       Settings
-	rng       *rand.Rand
-	now       Millis
-	out       []Action
-	servers   map[ServerID]*server
-	known     []*server // in the order first heard of
-	list      []*server // of these, the ready ones
-	classes   map[string]*classState
-	tenants   map[string]*tenantState
-	requests  map[RequestID]*request
-	heldQueue []*request
-	openList  []*request
-	started   bool
-	sweeping  bool
-	askDelay  Millis
-	askAt     Millis
-	asking    bool
-	subscribe bool
-	retries   float64 // tokens for further attempts
-	unit      Millis  // typical unit time over servers
-	hintMean  Millis
-	pool      []*server // scratch space of candidates
-	shared    bool
-}
-
 // New makes the logic of one node, or says which setting makes that impossible.
 func New(set Settings, seed uint64) (*Logic, error) {
 	if err := validate(set); err != nil {
@@ -331,7 +302,11 @@
 
 // feltUnit is the time a server takes for each request in its hands.
 func (l *Logic) feltUnit(s *server) Millis {
-	return max(1e-3, l.fade(s, s.unit), l.overdue(s, true))
+	unit := l.fade(s, s.unit)
+	if !s.seen {
+		unit = l.typicalUnit(s) // not the guess of its first moment
+	}
+	return max(1e-3, unit, l.overdue(s, true))
 }
 
 func (l *Logic) fade(s *server, v Millis) Millis {
@@ -379,11 +354,11 @@
 	}
 	gain := latencyGain
 	if !s.seen {
-		gain = 0.5
+		gain = 1 // the first outcome replaces the guess
 	}
 	s.latency += gain * (felt - s.latency)
 	unit := elapsed / (max(1, a.occupied-1+r.cost))
-	if good || (result == TimedOut || result == Cancelled) && unit > s.unit && !a.overtaken {
+	if good || (result == TimedOut || result == Cancelled) && unit > s.unit {
 		s.unit += gain * (unit - s.unit)
 	}
 	s.seen = s.seen || good
@@ -486,11 +461,11 @@
 
 // ---- load: what a server has in hand and how long a send would take
 
-func (l *Logic) report(s *server, load Load, own int) {
+func (l *Logic) report(s *server, load Load) {
 	if !load.Valid {
 		return
 	}
-	s.others = max(0, load.InFlight-float64(own))
+	s.others = max(0, load.InFlight-float64(s.inflight))
 	s.othersAvg += 0.2 * (s.others - s.othersAvg)
 	s.reportAt = l.now
 }
@@ -498,7 +473,7 @@
 // occupancy estimates the requests a server has in hand. Reports age toward their mean; without any the
 // other nodes are taken to send as much as this one.
 func (l *Logic) occupancy(s *server) float64 {
-	own := float64(s.inflight - s.overtaken)
+	own := float64(s.inflight)
 	if !l.set.Reports {
 		return own * float64(l.set.Nodes)
 	}
@@ -524,9 +499,8 @@
 	if s == nil {
 		return
 	}
-	s.probeOut = false
-	if e.Result == OK {
-		l.report(s, e.Load, s.inflight)
+	if s.probeOut = false; e.Result == OK {
+		l.report(s, e.Load)
 	}
 	l.dispatch()
 }
@@ -535,10 +509,11 @@
 
 func (l *Logic) arrive(e Arrival) {
 	c := l.classes[e.Class]
-	if c == nil || l.requests[e.ID] != nil {
-		if c == nil {
-			l.do(Refuse{ID: e.ID})
-		}
+	if l.requests[e.ID] != nil {
+		return
+	}
+	if c == nil {
+		l.do(Refuse{ID: e.ID}) // a class the settings do not name
 		return
 	}
 	r := &request{id: e.ID, class: c, tenant: l.tenants[e.Tenant], arrived: l.now, expires: e.Expires, cost: 1}
@@ -614,16 +589,18 @@
 	}
 	sort.SliceStable(queue, func(i, j int) bool { return queue[i].value > queue[j].value })
 	ahead := 0.0
-	probing := l.probesOut()
+	probing := slices.ContainsFunc(l.list, func(s *server) bool { return s.probeOut })
 	for _, r := range queue {
-		switch {
-		case r.done:
-		case probing && l.now < r.probing:
+		if r.done {
+			continue
+		}
+		if probing && l.now < r.probing {
 			l.heldQueue = append(l.heldQueue, r)
-		case l.trySend(r):
-		case l.hopeless(r, ahead):
+		} else if s := l.pick(r); s != nil {
+			l.send(r, s)
+		} else if l.hopeless(r, ahead) {
 			l.giveUp(r)
-		default:
+		} else {
 			ahead += r.cost
 			l.heldQueue = append(l.heldQueue, r)
 		}
@@ -631,25 +608,6 @@
 	l.wakeSweep()
 }
 
-func (l *Logic) probesOut() bool {
-	for _, s := range l.list {
-		if s.probeOut {
-			return true
-		}
-	}
-	return false
-}
-
-// trySend sends a held request if a server can be expected to answer it in time.
-func (l *Logic) trySend(r *request) bool {
-	s := l.pick(r)
-	if s == nil {
-		return false
-	}
-	l.send(r, s)
-	return true
-}
-
 // timeLeft is the time in which an answer still has its worth.
 func (l *Logic) timeLeft(r *request) Millis {
 	if r.late {
@@ -701,12 +659,8 @@
 // tried. An excluded server gets one trial after its cooldown, by a request that can bear a failure. When
 // all are excluded, all are candidates.
 func (l *Logic) candidates(r *request) []*server {
-	open, all := l.pool[:0], true
-	for _, s := range l.list {
-		if all = all && s.excluded; !all {
-			break
-		}
-	}
+	open := l.pool[:0]
+	all := !slices.ContainsFunc(l.list, func(s *server) bool { return !s.excluded })
 	for _, s := range l.list {
 		if !l.allowed(r, s) || !l.coldRoom(s, r.cost) || r.tried(s) {
 			continue
@@ -761,7 +715,9 @@
 	for _, s := range open {
 		s.expect = l.expected(s, r)
 		if s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
-			s.price = s.expect + l.classBad(s, r.class)*r.class.Aim
+			if s.price = s.expect; l.classFault(s, r.class) {
+				s.price += l.classBad(s, r.class) * r.class.Aim
+			}
 			best = min(best, s.price)
 			fit = append(fit, s)
 		}
@@ -802,13 +758,7 @@
 	r.open--
 	s.inflight--
 	s.drop(r)
-	if a.overtaken {
-		s.overtaken--
-	}
-	if e.Result == OK {
-		l.markOvertaken(s, a)
-	}
-	l.report(s, e.Load, s.inflight)
+	l.report(s, e.Load)
 	l.observe(s, r, a, e.Result, e.Elapsed)
 	if e.Result != Overloaded && e.Result != Unreachable && e.Result != Void {
 		r.ran(a)
@@ -828,21 +778,6 @@
 	l.dispatch()
 }
 
-// markOvertaken takes attempts out of the count in flight when a much later send was answered first: an
-// answer that got lost must not make its server look busy until the client gives up.
-func (l *Logic) markOvertaken(s *server, done *attempt) {
-	for _, r := range s.open {
-		for i := range r.attempts {
-			a := &r.attempts[i]
-			if a.server == s && a.open && !a.overtaken && a.sentAt < done.sentAt &&
-				l.now-a.sentAt > overtakenAt*a.expected {
-				a.overtaken = true
-				s.overtaken++
-			}
-		}
-	}
-}
-
 // ran marks that an attempt may have run: the first one binds a keyed request's repeats.
 func (r *request) ran(a *attempt) {
 	r.mayRun = true
@@ -854,7 +789,8 @@
 // again decides on a request whose attempts have all ended without an answer. An unreachable server had no
 // work of it, so going on costs no budget.
 func (l *Logic) again(r *request, last Result) {
-	if l.now >= r.expires-l.set.Tick || !l.mayResend(r) || (last != Cancelled && last != Unreachable && !l.spendRetry()) {
+	free := last == Cancelled || last == Unreachable
+	if l.now >= r.expires-l.set.Tick || !l.mayResend(r) || !free && !l.spendRetry() {
 		l.giveUp(r)
 		return
 	}
@@ -866,11 +802,11 @@
 }
 
 func (l *Logic) spendRetry() bool {
-	if l.retries < 1 {
-		return false
+	ok := l.retries >= 1
+	if ok {
+		l.retries--
 	}
-	l.retries--
-	return true
+	return ok
 }
 
 // giveUp gives the final answer at once: a refusal where a retry is surely harmless, else a failure.
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,551 @@
+package logic
+
+import (
+	"math"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// The operators read the whole module at night: 900 lines of at most 110 characters.
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("logic.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			lines++
+		}
+		if n := len([]rune(line)); n > 110 {
+			t.Errorf("line %d has %d characters", i+1, n)
+		}
+	}
+	if lines > 900 {
+		t.Errorf("logic.go has %d lines that are not blank, 900 at most", lines)
+	}
+}
+
+func TestSettingsThatCannotBe(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"nodes":        func(s *Settings) { s.Nodes = 0 },
+		"classes":      func(s *Settings) { s.Classes = nil },
+		"attempts":     func(s *Settings) { s.MaxAttempts = 0 },
+		"cold":         func(s *Settings) { s.ColdFrom = 1.5 },
+		"cold server":  func(s *Settings) { s.FallMultiple = 0 },
+		"drain":        func(s *Settings) { s.DrainGrace = -1 },
+		"aim":          func(s *Settings) { s.Classes[0].Aim = 0 },
+		"needs a wind": func(s *Settings) { s.Classes[1].Window = 0 },
+	} {
+		set := settings()
+		spoil(&set)
+		if _, err := New(set, 1); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: error %v does not name the setting", name, err)
+		}
+	}
+}
+
+func TestScoreFollowsLatencyErrorsAndRecent(t *testing.T) {
+	b := newBed(t, settings(), server3(2)...)
+	for i := 0; i < 60; i++ {
+		id, acts := b.arrive("read", 2000)
+		s := sentTo(acts)
+		took := 20.0
+		if s == "s1" {
+			took = 40
+		}
+		b.now += took
+		b.end(id, 0, s, OK, took)
+		b.step(TimerFired{"cycle"})
+	}
+	b.step(TimerFired{"cycle"})
+	s0, s1 := b.l.servers["s0"], b.l.servers["s1"]
+	if math.Abs(s0.score-1) > 0.01 {
+		t.Errorf("the fastest server without errors scores %.3f, want 1", s0.score)
+	}
+	// Half the latency term is missing: (0.4*0.5+0.3+0.1)/0.8.
+	if s1.recentLen > 0 && math.Abs(s1.score-0.75) > 0.12 {
+		t.Errorf("a server of twice the latency scores %.3f, want about 0.75", s1.score)
+	}
+}
+
+func TestDrawIsInProportionToScore(t *testing.T) {
+	b := newBed(t, settings(), server3(2)...)
+	b.l.list[0].score, b.l.list[1].score = 0.9, 0.3
+	got := 0
+	for i := 0; i < 4000; i++ {
+		if b.l.draw(b.l.list) == b.l.list[0] {
+			got++
+		}
+	}
+	if got < 2900 || got > 3100 {
+		t.Errorf("drawn %d of 4000 times, want about 3000", got)
+	}
+}
+
+func TestRedrawLeavesCrowdedServers(t *testing.T) {
+	b := newBed(t, settings(), server3(2)...)
+	seen := map[ServerID]int{}
+	for i := 0; i < 2; i++ {
+		_, acts := b.arrive("read", 2000)
+		seen[sentTo(acts)]++
+	}
+	if seen["s0"] != 1 || seen["s1"] != 1 {
+		t.Errorf("two requests at once went to %v, want one each", seen)
+	}
+}
+
+func TestNewServerStartsAtTheOthersMean(t *testing.T) {
+	b := newBed(t, settings(), server3(2)...)
+	b.l.list[0].score, b.l.list[1].score = 0.4, 0.8
+	b.l.list[0].recentLen, b.l.list[1].recentLen = 0, 0
+	b.step(ServerList{Form: ListDelta, Entries: []ServerEntry{{ID: "new", Size: 1}}})
+	if got := b.l.servers["new"].score; math.Abs(got-0.6) > 1e-9 {
+		t.Errorf("new server scores %.2f, want 0.6", got)
+	}
+}
+
+// failing makes one server fail until it is excluded.
+func failing(t *testing.T, b *bed, bad ServerID, res Result) {
+	t.Helper()
+	for i := 0; i < 300 && !b.l.servers[bad].excluded; i++ {
+		b.serve("read", 5, func(s ServerID) Result {
+			if s == bad {
+				return res
+			}
+			return OK
+		})
+	}
+}
+
+func TestExclusionCooldownAndOneTrial(t *testing.T) {
+	b := newBed(t, settings(), server3(4)...)
+	failing(t, b, "s1", Errored)
+	if !b.l.servers["s1"].excluded {
+		t.Fatal("a server that always fails is not excluded")
+	}
+	for i := 0; i < 100; i++ {
+		if s := b.serve("read", 5, allOK); s == "s1" {
+			t.Fatal("an excluded server was drawn before its cooldown ended")
+		}
+	}
+	b.pass(cooldown + 1000)
+	var trial RequestID
+	for i := 0; i < 200 && trial == 0; i++ {
+		if id, acts := b.arrive("read", 2000); sentTo(acts) == "s1" {
+			trial = id
+		} else {
+			b.now += 5
+			b.end(id, 0, sentTo(acts), OK, 5)
+		}
+	}
+	if trial == 0 {
+		t.Fatal("no trial after the cooldown")
+	}
+	for i := 0; i < 50; i++ {
+		if s := b.serve("read", 1, allOK); s == "s1" {
+			t.Fatal("a second request during the trial")
+		}
+	}
+	b.end(trial, 0, "s1", OK, 30)
+	if b.l.servers["s1"].excluded {
+		t.Error("a good trial does not readmit")
+	}
+}
+
+// Guards against readmitting a failing server on an answer to something sent before its exclusion.
+func TestLateAnswerIsNoTrial(t *testing.T) {
+	b := newBed(t, settings(), server3(3)...)
+	var old RequestID
+	for i := 0; i < 300 && old == 0; i++ {
+		if id, acts := b.arrive("read", 5000); sentTo(acts) == "s1" {
+			old = id
+		} else {
+			b.now += 5
+			b.end(id, 0, sentTo(acts), OK, 5)
+			b.step(TimerFired{"cycle"})
+		}
+	}
+	if old == 0 {
+		t.Fatal("never drawn")
+	}
+	s := b.l.servers["s1"]
+	s.excluded, s.trialAt = true, b.now+cooldown
+	b.now += 50
+	b.end(old, 0, "s1", OK, 50)
+	if !s.excluded {
+		t.Error("an answer from before the exclusion readmitted the server")
+	}
+}
+
+func TestRefusalsNeverExclude(t *testing.T) {
+	b := newBed(t, settings(), server3(4)...)
+	failing(t, b, "s1", Overloaded)
+	s := b.l.servers["s1"]
+	if s.excluded {
+		t.Error("a full server was excluded")
+	}
+	b.l.runScores()
+	if s.score >= b.l.servers["s0"].score {
+		t.Errorf("refusals do not lower the score: %.2f against %.2f", s.score, b.l.servers["s0"].score)
+	}
+}
+
+// Guards against ejecting the whole fleet for a cause that all servers share.
+func TestSharedFailureExcludesNone(t *testing.T) {
+	b := newBed(t, settings(), server3(6)...)
+	for i := 0; i < 200; i++ {
+		b.serve("read", 5, func(ServerID) Result { return Errored })
+		b.now += 50
+	}
+	out := 0
+	for _, s := range b.l.list {
+		if s.excluded {
+			out++
+		}
+	}
+	if out > 3 {
+		t.Errorf("%d of 6 excluded though all fail alike", out)
+	}
+}
+
+func TestAllExcludedMeansAllEligible(t *testing.T) {
+	b := newBed(t, settings(), server3(3)...)
+	for _, s := range b.l.list {
+		s.excluded, s.trialAt = true, b.now+cooldown
+	}
+	if _, acts := b.arrive("read", 2000); sentTo(acts) == "" {
+		t.Error("nothing was sent though all are excluded")
+	}
+}
+
+func TestUnsafeIsNeverSentTwice(t *testing.T) {
+	for res, again := range map[Result]bool{Errored: false, TimedOut: false, Broken: false, Overloaded: true, Unreachable: true} {
+		b := newBed(t, settings(), server3(3)...)
+		id, acts := b.arrive("bill", 2000)
+		b.now += 10
+		acts = b.end(id, 0, sentTo(acts), res, 10)
+		if got := sentTo(acts) != ""; got != again {
+			t.Errorf("result %d: sent again %v, want %v", res, got, again)
+		}
+		if !again && count[Fail](acts) != 1 {
+			t.Errorf("result %d: answer %v, want one Fail", res, acts)
+		}
+	}
+}
+
+func TestKeyedStaysInItsCellAndWindow(t *testing.T) {
+	b := newBed(t, settings(), server3(6)...)
+	for i := 0; i < 40; i++ {
+		b.l.retries = retryBurst
+		id, acts := b.arrive("put", 2000)
+		first := sentTo(acts)
+		b.now++
+		acts = b.end(id, 0, first, Errored, 1)
+		second := sentTo(acts)
+		if second != "" && b.l.servers[second].Cell != b.l.servers[first].Cell {
+			t.Fatalf("repeated in cell %d after cell %d", b.l.servers[second].Cell, b.l.servers[first].Cell)
+		}
+		if second == "" && count[Refuse](acts) > 0 {
+			t.Fatal("refused though an attempt may have run")
+		}
+		if second != "" {
+			b.end(id, 1, second, OK, 1)
+		}
+	}
+	id, acts := b.arrive("put", 5000)
+	b.now += 1100 // past the window, and past the aim
+	if acts = b.end(id, 0, sentTo(acts), Errored, 1100); sentTo(acts) != "" || count[Fail](acts) != 1 {
+		t.Errorf("after the window: %v, want Fail", acts)
+	}
+}
+
+func TestNothingGoesToADrainingServer(t *testing.T) {
+	for _, form := range []ListForm{ListDelta, ListFull} {
+		b := newBed(t, settings(), server3(3)...)
+		entries := []ServerEntry{{ID: "s1", State: Draining, Size: 1}}
+		if form == ListFull { // absent from a full list means gone
+			entries = []ServerEntry{server3(3)[0], server3(3)[2]}
+		}
+		b.step(ServerList{Form: form, Entries: entries})
+		for i := 0; i < 100; i++ {
+			if b.serve("read", 5, allOK) == "s1" {
+				t.Fatalf("form %d: sent to a server that is draining or gone", form)
+			}
+		}
+	}
+}
+
+func TestColdServerKeepsItsBudget(t *testing.T) {
+	set := settings()
+	set.Nodes = 2
+	set.Classes = set.Classes[:1]
+	b := newBed(t, set, server3(1)...)
+	for i := 0; i < 30; i++ {
+		b.serve("read", 40, allOK)
+	}
+	unit := b.l.unit
+	b.l.list[0].State = Gone
+	b.step(ServerList{Form: ListDelta, Entries: []ServerEntry{
+		{ID: "s0", State: Gone}, {ID: "cold", Size: 1, Started: b.now}}})
+	sent, start := 0, b.now
+	for b.now < start+set.FallFor {
+		if id, acts := b.arrive("read", 2000); sentTo(acts) == "cold" {
+			sent++
+			b.end(id, 0, "cold", Overloaded, 0) // refused work counts too
+		}
+		b.now += 5
+	}
+	budget := set.FallMultiple * (set.ColdFrom + 0.2*(1-set.ColdFrom)) * set.FallFor / unit / float64(set.Nodes)
+	if sent == 0 || float64(sent) > budget {
+		t.Errorf("sent %d to a cold server, want 1 to %.1f", sent, budget)
+	}
+}
+
+func TestRestartBeginsFresh(t *testing.T) {
+	b := newBed(t, settings(), server3(3)...)
+	failing(t, b, "s1", Errored)
+	b.step(ServerList{Form: ListDelta, Entries: []ServerEntry{{ID: "s1", Size: 1, Started: b.now}}})
+	s := b.l.servers["s1"]
+	if s.excluded || s.recentLen != 0 || b.l.ramp(s) > 0.3 {
+		t.Errorf("restarted server kept its past: excluded %v, outcomes %d, ramp %.2f", s.excluded, s.recentLen, b.l.ramp(s))
+	}
+	if len(b.l.list) != 3 {
+		t.Errorf("%d servers listed, want 3", len(b.l.list))
+	}
+}
+
+func TestSubscriptionIsAskedForAgain(t *testing.T) {
+	set := settings()
+	set.Subscribe = true
+	b := newBed(t, set, server3(2)...)
+	if count[Watch](b.acts) != 1 {
+		t.Fatal("no subscription at the start")
+	}
+	for i := 0; i < 6; i++ {
+		var at Millis
+		for _, a := range b.step(ServerList{Form: ListFailed}) {
+			if timer, ok := a.(SetTimer); ok && timer.Token == "ask" {
+				at = timer.At
+			}
+		}
+		if at <= b.now || at-b.now > set.MustAskIn {
+			t.Fatalf("asks again in %.0f ms", at-b.now)
+		}
+		b.now = at
+		if count[Watch](b.step(TimerFired{"ask"})) != 1 {
+			t.Fatal("a failed call is not repeated")
+		}
+	}
+	if len(b.l.list) != 2 {
+		t.Error("a failed call lost the list")
+	}
+	b.step(ServerList{Form: ListDelta})
+	b.now += 60000
+	if count[Watch](b.step(TimerFired{"ask"})) != 0 {
+		t.Error("asks again while subscribed")
+	}
+}
+
+// Guards against counting a class's own fault against the server: the others' capacity would go unused.
+func TestClassFaultIsNotTheServers(t *testing.T) {
+	b := newBed(t, settings(), server3(3)...)
+	for i := 0; i < 40; i++ {
+		b.serve("read", 20, allOK)
+	}
+	s := b.l.servers["s1"]
+	unit := s.unit
+	r := &request{class: b.l.classes["bill"], cost: 1}
+	for i := 0; i < 6; i++ {
+		b.now += 2000
+		a := &attempt{server: s, sentAt: b.now - 2000, occupied: 1, expected: 20}
+		b.l.observe(s, r, a, TimedOut, 2000)
+		b.serve("read", 20, allOK)
+	}
+	if s.excluded {
+		t.Error("a server that serves other classes was excluded for one class")
+	}
+	if b.l.classBad(s, r.class) < classFaulty || b.l.classBad(s, b.l.classes["read"]) > 0.1 {
+		t.Error("the class's failures were not kept apart")
+	}
+	if s.unit > 20*unit {
+		t.Errorf("unit time went from %.0f to %.0f", unit, s.unit)
+	}
+	for i := 0; i < 30; i++ {
+		id, acts := b.arrive("bill", 2000)
+		if sentTo(acts) == "s1" {
+			t.Fatal("the class still goes where it fails")
+		}
+		b.end(id, 0, sentTo(acts), OK, 20)
+	}
+}
+
+// Silence counts before the outcome arrives: a hung server must not go on being drawn.
+func TestSilentServerIsLeft(t *testing.T) {
+	b := newBed(t, settings(), server3(3)...)
+	for i := 0; i < 60; i++ {
+		b.serve("read", 20, allOK)
+	}
+	hung := 0
+	for i := 0; i < 60; i++ {
+		id, acts := b.arrive("read", 5000)
+		if s := sentTo(acts); s == "s1" {
+			hung++
+		} else if s != "" {
+			b.now += 20
+			b.end(id, 0, s, OK, 20)
+		}
+		b.step(TimerFired{"sweep"})
+	}
+	if hung > 5 {
+		t.Errorf("%d of 60 requests went to a silent server", hung)
+	}
+}
+
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	b := newBed(t, settings()) // no servers at all
+	if _, acts := b.arrive("read", 2000); count[Refuse](acts) != 1 {
+		t.Errorf("without servers: %v, want a refusal at once", acts)
+	}
+	b = newBed(t, settings(), server3(1)...)
+	for i := 0; i < 200; i++ {
+		b.arrive("read", 2000)
+	}
+	if n := count[Refuse](b.acts); n < 150 {
+		t.Errorf("%d of 200 refused early by a server that can hold a few", n)
+	}
+	for _, a := range b.acts {
+		if r, ok := a.(Refuse); ok && r.RetryAfter <= 0 {
+			t.Fatal("a refusal does not say when to come back")
+		}
+	}
+}
+
+// Withdrawing a slow request throws its work away; without second copies only suspect servers warrant it.
+func TestSlowRequestIsNotWithdrawn(t *testing.T) {
+	set := settings()
+	set.SecondCopies = false
+	b := newBed(t, set, server3(2)...)
+	for i := 0; i < 40; i++ {
+		b.serve("read", 20, allOK)
+	}
+	b.arrive("read", 2000)
+	b.acts = nil
+	b.pass(1000)
+	if n := count[Cancel](b.acts); n != 0 {
+		t.Errorf("%d withdrawn from a server without failures", n)
+	}
+}
+
+func TestSpareCapacityTriesHeavyRequests(t *testing.T) {
+	b := newBed(t, settings(), server3(4)...)
+	for i := 0; i < 40; i++ {
+		b.next++
+		acts := b.step(Arrival{ID: b.next, Class: "read", Hint: 50, Expires: b.now + 2000})
+		b.now += 100
+		b.end(b.next, 0, sentTo(acts), OK, 100)
+	}
+	b.next++
+	if acts := b.step(Arrival{ID: b.next, Class: "read", Hint: 250, Expires: b.now + 2000}); sentTo(acts) == "" {
+		t.Error("an idle fleet refused a request for a rough hint")
+	}
+}
+
+func TestTenantsOverTheirShareWait(t *testing.T) {
+	set := settings()
+	set.Tenants = []Tenant{{Name: "loud", Quota: 10}, {Name: "meek", Quota: 10}}
+	b := newBed(t, set, server3(1)...)
+	for i := 0; i < 100; i++ {
+		b.now += 10
+		b.next++
+		b.step(Arrival{ID: b.next, Class: "read", Tenant: "loud", Expires: b.now + 2000})
+	}
+	loud := &request{class: b.l.classes["read"], tenant: b.l.tenants["loud"], cost: 1}
+	meek := &request{class: b.l.classes["read"], tenant: b.l.tenants["meek"], cost: 1}
+	b.l.countArrival(loud, false)
+	b.l.countArrival(meek, false)
+	if !loud.overQuo || meek.overQuo || b.l.marginalWorth(loud) >= b.l.marginalWorth(meek) {
+		t.Errorf("over share: loud %v, meek %v", loud.overQuo, meek.overQuo)
+	}
+}
+
+func TestLateRetryOnlyOnIdleServers(t *testing.T) {
+	b := newBed(t, settings(), server3(1)...)
+	b.arrive("read", 1000) // the longest try; it keeps the only server busy
+	b.next++
+	acts := b.step(Arrival{ID: b.next, Class: "read", Retry: true, Expires: b.now + 300}) // began 1.7 s ago
+	if count[Refuse](acts) != 1 {
+		t.Errorf("a retry past its aim got %v on a busy server, want a refusal", acts)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []Action {
+		b := newBed(t, settings(), server3(5)...)
+		for i := 0; i < 200; i++ {
+			b.serve([]string{"read", "put", "bill"}[i%3], Millis(5+i%7), func(s ServerID) Result {
+				if s == "s2" {
+					return Errored
+				}
+				return OK
+			})
+		}
+		return b.acts
+	}
+	if !reflect.DeepEqual(run(), run()) {
+		t.Error("two runs differ")
+	}
+}
+
+func TestOddSettingsStillServe(t *testing.T) {
+	for name, odd := range map[string]func(*Settings){
+		"many nodes":    func(s *Settings) { s.Nodes = 50 },
+		"one attempt":   func(s *Settings) { s.MaxAttempts = 1 },
+		"no goal":       func(s *Settings) { s.Goal = Goal{} },
+		"zero quota":    func(s *Settings) { s.Tenants = []Tenant{{Name: "t"}} },
+		"no cold time":  func(s *Settings) { s.ColdFor = 0 },
+		"huge deadline": func(s *Settings) { s.Classes[0].HardLimit, s.Classes[0].Aim = 1e9, 1e9 },
+		"worthless":     func(s *Settings) { s.Classes[0].Worth = 0 },
+		"probes":        func(s *Settings) { s.MayProbe, s.Reports = true, true },
+	} {
+		set := settings()
+		odd(&set)
+		b := newBed(t, set, server3(1)...)
+		if s := b.serve("read", 5, allOK); s != "s0" {
+			t.Errorf("%s: sent to %q", name, s)
+		}
+	}
+}
+
+// With reports, a send waits a moment for the servers asked, and goes on without those that stay silent.
+func TestProbesBeforeASend(t *testing.T) {
+	set := settings()
+	set.MayProbe, set.Reports = true, true
+	b := newBed(t, set, server3(3)...)
+	_, acts := b.arrive("read", 2000)
+	if count[Probe](acts) == 0 || sentTo(acts) != "" {
+		t.Fatalf("got %v, want probes first", acts)
+	}
+	b.now += probeWait
+	if acts = b.step(TimerFired{"probes"}); sentTo(acts) == "" {
+		t.Error("silent probes hold the request back")
+	}
+	var asked []ServerID
+	b.now += 100
+	_, acts = b.arrive("read", 2000)
+	for _, a := range acts {
+		if p, ok := a.(Probe); ok {
+			asked = append(asked, p.Server)
+		}
+	}
+	for i, s := range asked {
+		acts = b.step(ProbeEnd{Server: s, Result: OK, Load: Load{Valid: true, InFlight: float64(5 * i)}})
+	}
+	if len(asked) > 1 && sentTo(acts) != "" && sentTo(acts) != asked[0] {
+		if b.l.occupancy(b.l.servers[sentTo(acts)]) > 2 {
+			t.Errorf("sent to %s although its report shows it crowded", sentTo(acts))
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -2,16 +2,45 @@
 
 // What a node remembers, and plain bookkeeping over it. No decisions: those are in logic.go.
 
-import "math"
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// Logic decides for one node. It is pure: time and chance come in through Step and New.
+type Logic struct {
+	set       Settings
+	rng       *rand.Rand
+	now       Millis
+	out       []Action
+	servers   map[ServerID]*server
+	known     []*server // in the order first heard of
+	list      []*server // of these, the ready ones
+	classes   map[string]*classState
+	tenants   map[string]*tenantState
+	requests  map[RequestID]*request
+	heldQueue []*request
+	openList  []*request
+	started   bool
+	sweeping  bool
+	askDelay  Millis
+	askAt     Millis
+	asking    bool
+	subscribe bool
+	retries   float64 // tokens for further attempts
+	unit      Millis  // typical unit time over servers
+	hintMean  Millis
+	pool      []*server // scratch space of candidates
+	shared    bool
+}
 
 // attempt is one send of a request.
 type attempt struct {
-	server    *server
-	sentAt    Millis
-	occupied  float64 // requests expected at the server, this one included, when it was sent
-	expected  Millis
-	open      bool
-	overtaken bool // the server has long since answered later sends: lost or heavy
+	server   *server
+	sentAt   Millis
+	occupied float64 // requests expected at the server, this one included, when it was sent
+	expected Millis
+	open     bool
 }
 
 // request is one request in this node's hands.
@@ -82,7 +111,6 @@
 	classes       []classHealth // by the class's index
 	inflight      int
 	expect, price Millis     // of the request being placed
-	overtaken     int        // of these, attempts that later sends have long overtaken
 	open          []*request // with an attempt out here, oldest first
 	others        float64    // requests of other nodes, by the latest report
 	othersAvg     float64
@@ -161,12 +189,12 @@
 	return s.served / s.asked
 }
 
-// oldest is the longest outstanding attempt that no later send has overtaken.
+// oldest is the longest outstanding attempt.
 func (s *server) oldest() (*request, *attempt) {
 	for _, r := range s.open {
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			if a.server == s && a.open && !a.overtaken {
+			if a.server == s && a.open {
 				return r, a
 			}
 		}
