--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,11 +39,13 @@
 
 	redrawFactor = 1.5  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.45 // expected share of the time left that a first send may use; the rest is variance
+	herdFloor    = 0.6  // a server is not believed much faster than typical for its size: all nodes would run to it
 	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
-	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left
-	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
-	probeWait    = 4.0  // several round trips in one site, and still little of any aim
-	reportFresh  = 8.0  // a report younger than this needs no probe
+	blindRisk    = 1.0
+	spareRisk    = 2.0 // an idle server may be tried at fitShare + this x the idle share of the time left
+	probeWidth   = 3   // servers asked for their load before a send: most of the gain of asking all
+	probeWait    = 4.0 // several round trips in one site, and still little of any aim
+	reportFresh  = 8.0 // a report younger than this needs no probe
 
 	sweepEvery     = 10.0 // how often held and overdue requests are looked at, while there are any
 	retryShare     = 0.1  // further attempts per first try: client retries multiply them already
@@ -306,7 +308,7 @@
 	if !s.seen {
 		unit = l.typicalUnit(s) // not the guess of its first moment
 	}
-	return max(1e-3, unit, l.overdue(s, true))
+	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true))
 }
 
 func (l *Logic) fade(s *server, v Millis) Millis {
@@ -695,6 +697,9 @@
 // idleRisk is the expected share of the time left at which an idle server may still be tried.
 func (l *Logic) idleRisk() float64 {
 	n := 0.0
+	if !l.set.Reports {
+		return blindRisk // nothing in hand of ours does not make a server idle
+	}
 	for _, s := range l.list {
 		if l.occupancy(s) < idle {
 			n++
@@ -722,6 +727,9 @@
 			fit = append(fit, s)
 		}
 	}
+	if len(fit) == 0 && len(l.openList) == 0 && len(open) > 0 && !r.late {
+		return l.draw(open) // never refuse all: one request is always out to learn from
+	}
 	for len(fit) > 0 {
 		s := l.draw(fit)
 		if s.price <= best*redrawFactor {
