Count unanswered probes as failures and never refuse all on old evidence

A module test showed that a node whose every server had looked slow went on refusing after the slowdown; one request is now always out.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,13 +39,13 @@
 
 	redrawFactor = 1.5  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.45 // expected share of the time left that a first send may use; the rest is variance
-	herdFloor    = 0.6  // a server is not believed much faster than typical for its size: all nodes would run to it
+	herdFloor    = 0.6  // none is believed much faster than typical for its size: all nodes would run there
 	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
-	blindRisk    = 1.0
-	spareRisk    = 2.0 // an idle server may be tried at fitShare + this x the idle share of the time left
-	probeWidth   = 3   // servers asked for their load before a send: most of the gain of asking all
-	probeWait    = 4.0 // several round trips in one site, and still little of any aim
-	reportFresh  = 8.0 // a report younger than this needs no probe
+	blindRisk    = 0.7  // without reports an idle server cannot be told: little more than fitShare
+	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left
+	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
+	probeWait    = 4.0  // several round trips in one site, and still little of any aim
+	reportFresh  = 8.0  // a report younger than this needs no probe
 
 	sweepEvery     = 10.0 // how often held and overdue requests are looked at, while there are any
 	retryShare     = 0.1  // further attempts per first try: client retries multiply them already
@@ -123,7 +123,8 @@
 func (l *Logic) timer(token string) {
 	switch token {
 	case "cycle":
-		l.runCycle()
+		l.runScores()
+		l.dispatch()
 		l.do(SetTimer{"cycle", l.now + cycle})
 	case "sweep":
 		l.sweeping = false
@@ -259,11 +260,6 @@
 
 // ---- health: score, exclusion, trial
 
-func (l *Logic) runCycle() {
-	l.runScores()
-	l.dispatch()
-}
-
 // runScores scores each ready server from 0 to 1 and renews the typical unit time.
 func (l *Logic) runScores() {
 	var units []float64
@@ -286,13 +282,8 @@
 		if s.recentLen == 0 {
 			continue // a newcomer keeps the others' mean
 		}
-		ok, fail := s.window(l.now)
-		errorRate := 0.0
-		if ok+fail > 0 {
-			errorRate = float64(fail) / float64(ok+fail)
-		}
-		s.score = (weightLatency*best/l.feltLatency(s) + weightErrors*(1-errorRate) + weightRecent*s.recentRate()) /
-			(weightLatency + weightErrors + weightRecent)
+		good := weightLatency*best/l.feltLatency(s) + weightErrors*(1-s.errorRate(l.now))
+		s.score = (good + weightRecent*s.recentRate()) / (weightLatency + weightErrors + weightRecent)
 	}
 }
 
@@ -325,10 +316,7 @@
 // to be shunned for it.
 func (l *Logic) overdue(s *server, each bool) Millis {
 	r, a := s.oldest()
-	if a == nil {
-		return 0
-	}
-	if l.classFault(s, r.class) {
+	if a == nil || l.classFault(s, r.class) {
 		return 0
 	}
 	silent := l.now - max(a.sentAt, s.outcomeAt)
@@ -442,7 +430,7 @@
 // othersWell says that servers remain whose recent outcomes are good. Where none is left the cause is shared,
 // or is this node, and excluding would only heap the load on the last.
 func (l *Logic) othersWell(s *server) bool {
-	well, left := 0, 0
+	well, left := 0.0, 0.0
 	for _, o := range l.list {
 		if o != s && !o.excluded {
 			left++
@@ -451,7 +439,7 @@
 			}
 		}
 	}
-	return well > 0 && float64(well) >= wellShare*float64(left)
+	return well > 0 && well >= wellShare*left
 }
 
 func (l *Logic) readmit(s *server) {
@@ -501,8 +489,13 @@
 	if s == nil {
 		return
 	}
-	if s.probeOut = false; e.Result == OK {
+	s.probeOut = false
+	switch e.Result {
+	case OK:
 		l.report(s, e.Load)
+	case Errored, TimedOut, Unreachable, Broken: // what does not even answer a probe serves nothing
+		s.note(l.now, false)
+		l.judge(s, e.Result, l.now-e.Elapsed)
 	}
 	l.dispatch()
 }
@@ -683,15 +676,12 @@
 		sum += s.score
 	}
 	at := l.rng.Float64() * sum
-	for _, s := range from {
-		if at -= s.score; at < 0 {
+	for i, s := range from {
+		if at -= s.score; at < 0 || i == len(from)-1 {
 			return s
 		}
 	}
-	if len(from) == 0 {
-		return nil
-	}
-	return from[len(from)-1]
+	return nil
 }
 
 // idleRisk is the expected share of the time left at which an idle server may still be tried.
@@ -727,8 +717,9 @@
 			fit = append(fit, s)
 		}
 	}
-	if len(fit) == 0 && len(l.openList) == 0 && len(open) > 0 && !r.late {
-		return l.draw(open) // never refuse all: one request is always out to learn from
+	out := func(o *request) bool { return o.open > 0 }
+	if len(fit) == 0 && !r.late && !slices.ContainsFunc(l.openList, out) {
+		return l.draw(open) // never refuse all on old evidence: one request is always out to learn from
 	}
 	for len(fit) > 0 {
 		s := l.draw(fit)
@@ -776,7 +767,7 @@
 		l.forget(r)
 	case e.Closed || e.Result == OK:
 		if e.Result == OK && l.now <= r.aimAt {
-			l.countServed(r)
+			l.book(r, func(s *share, w float64) { s.served += w })
 		}
 		l.finish(r)
 	case r.open > 0 || r.held:
@@ -810,11 +801,11 @@
 }
 
 func (l *Logic) spendRetry() bool {
-	ok := l.retries >= 1
-	if ok {
-		l.retries--
+	if l.retries < 1 {
+		return false
 	}
-	return ok
+	l.retries--
+	return true
 }
 
 // giveUp gives the final answer at once: a refusal where a retry is surely harmless, else a failure.
@@ -947,8 +938,6 @@
 	return max(1/float64(l.set.Nodes), rate/max(1, quota))
 }
 
-func (l *Logic) countServed(r *request) { l.book(r, func(s *share, w float64) { s.served += w }) }
-
 func (l *Logic) book(r *request, add func(*share, float64)) {
 	w := l.worth(r)
 	r.class.decay(l.now)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -440,7 +440,9 @@
 }
 
 func TestSpareCapacityTriesHeavyRequests(t *testing.T) {
-	b := newBed(t, settings(), server3(4)...)
+	set := settings()
+	set.Reports = true
+	b := newBed(t, set, server3(4)...)
 	for i := 0; i < 40; i++ {
 		b.next++
 		acts := b.step(Arrival{ID: b.next, Class: "read", Hint: 50, Expires: b.now + 2000})
@@ -453,6 +455,61 @@
 	}
 }
 
+// Guards against a silent death: a server that answers no probe is excluded without losing requests to it.
+func TestUnansweredProbesExclude(t *testing.T) {
+	set := settings()
+	set.MayProbe, set.Reports = true, true
+	b := newBed(t, set, server3(3)...)
+	for _, s := range b.l.list[1:] {
+		s.note(b.now, true)
+	}
+	for i := 0; i < tripFailures; i++ {
+		b.now += 50
+		b.step(ProbeEnd{Server: "s0", Result: Overloaded})
+	}
+	if b.l.servers["s0"].excluded {
+		t.Fatal("excluded for refusing probes")
+	}
+	for i := 0; i < tripFailures; i++ {
+		b.now += 50
+		b.step(ProbeEnd{Server: "s0", Result: TimedOut, Elapsed: 50})
+	}
+	if !b.l.servers["s0"].excluded {
+		t.Error("a server that answers no probe is not excluded")
+	}
+}
+
+// Guards against a rush: all nodes would run to a server that has just warmed up and looks far faster.
+func TestWarmServerIsNotRushed(t *testing.T) {
+	b := newBed(t, settings(), server3(4)...)
+	for _, s := range b.l.list {
+		s.seen, s.unit = true, 100
+	}
+	b.l.list[3].unit = 10
+	b.l.runScores()
+	if unit := b.l.feltUnit(b.l.list[3]); unit < herdFloor*100 {
+		t.Errorf("believed to need %.0f ms where 100 is typical", unit)
+	}
+}
+
+// Guards against refusing everything on old evidence: the node would never learn that a slowdown is over.
+func TestFleetSlowdownEnds(t *testing.T) {
+	b := newBed(t, settings(), server3(4)...)
+	for i := 0; i < 60; i++ {
+		b.serve("read", 1500, allOK) // far beyond the aim
+	}
+	served := 0
+	for i := 0; i < 400; i++ {
+		if b.serve("read", 20, allOK) != "" {
+			served++
+		}
+		b.now += 30
+	}
+	if served < 300 {
+		t.Errorf("%d of 400 sent after the slowdown ended", served)
+	}
+}
+
 func TestTenantsOverTheirShareWait(t *testing.T) {
 	set := settings()
 	set.Tenants = []Tenant{{Name: "loud", Quota: 10}, {Name: "meek", Quota: 10}}
--- a/logic/state.go
+++ b/logic/state.go
@@ -216,3 +216,9 @@
 	}
 	return &s.classes[c.index]
 }
+
+// errorRate is the failure share over the window.
+func (s *server) errorRate(now Millis) float64 {
+	ok, fail := s.window(now)
+	return float64(fail) / math.Max(1, float64(ok+fail))
+}
