Take retries to have used up part of their aim

Not the servers (median 105 ms, queues of one): retries after a refusal were given a whole new aim. A retry whose try is not cut short is now dated halfway to the earliest start that would have cut it, 0.7 of the aim at most.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,6 +48,7 @@
 	reportFresh  = 8.0  // a report younger than this needs no probe
 
 	sweepEvery     = 10.0 // how often held and overdue requests are looked at, while there are any
+	retryAge       = 0.7  // of the aim: what the tries before a retry are taken to have used at most
 	retryShare     = 0.1  // further attempts per first try: client retries multiply them already
 	retryBurst     = 5.0
 	silentFailures = 2    // failures in a row that make a silent server suspect, not the request
@@ -533,6 +534,8 @@
 	r.aimAt = l.now + aim
 	if retry && left < c.longestTry-1 {
 		r.aimAt = min(r.aimAt, r.expires-c.HardLimit+aim)
+	} else if retry { // somewhere between just now and the earliest that would have cut it
+		r.aimAt -= min((c.HardLimit-c.longestTry)/2, retryAge*aim)
 	}
 	r.late = r.aimAt <= l.now
 }
