Doubt late load reports, and take out rescues, which earned nothing

Reports went on showing 0 for some 80 ms after this node's own sends, so all nodes ran to the same empty server. Reports that miss our own requests now lose their say to the server's mean.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,20 +45,20 @@
 	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left
 	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
 	probeWait    = 4.0  // several round trips in one site, and still little of any aim
+	staleGain    = 0.05 // some twenty reports tell whether they can be believed
+	staleDoubt   = 3.0  // a third of the reports missing our own requests: believe only their mean
 	reportFresh  = 8.0  // a report younger than this needs no probe
 
-	sweepEvery     = 10.0 // how often held and overdue requests are looked at, while there are any
-	retryAge       = 0.7  // of the aim: what the tries before a retry are taken to have used at most
-	retryShare     = 0.1  // further attempts per first try: client retries multiply them already
-	retryBurst     = 5.0
-	silentFailures = 2    // failures in a row that make a silent server suspect, not the request
-	rescueAt       = 2.5  // an attempt is overdue at this multiple of its expected time
-	coldMargin     = 0.6  // of the cold budget; our capacity estimate may be off by half
-	coldBurst      = 0.25 // of a window's budget at once; the rest is spread within it
-	askFirstWait   = 200.0
-	askLongest     = 5000.0
-	goalMemory     = 30000.0 // time constant of the served shares per class and tenant
-	rateMemory     = 3000.0  // time constant of the tenants' rates
+	sweepEvery   = 10.0 // how often held requests are looked at, while there are any
+	retryAge     = 0.7  // of the aim: what the tries before a retry are taken to have used at most
+	retryShare   = 0.1  // further attempts per first try: client retries multiply them already
+	retryBurst   = 5.0
+	coldMargin   = 0.6  // of the cold budget; our capacity estimate may be off by half
+	coldBurst    = 0.25 // of a window's budget at once; the rest is spread within it
+	askFirstWait = 200.0
+	askLongest   = 5000.0
+	goalMemory   = 30000.0 // time constant of the served shares per class and tenant
+	rateMemory   = 3000.0  // time constant of the tenants' rates
 )
 
 // New makes the logic of one node, or says which setting makes that impossible.
@@ -91,10 +91,6 @@
 		l.arrive(e)
 	case AttemptEnd:
 		l.attemptEnd(e)
-	case FirstByte:
-		if r := l.requests[e.ID]; r != nil {
-			r.streamed = true
-		}
 	case Dropped:
 		if r := l.requests[e.ID]; r != nil {
 			l.finish(r)
@@ -129,7 +125,8 @@
 		l.do(SetTimer{"cycle", l.now + cycle})
 	case "sweep":
 		l.sweeping = false
-		l.sweep()
+		l.dispatch()
+		l.wakeSweep()
 	case "probes":
 		l.dispatch()
 	case "ask":
@@ -456,6 +453,14 @@
 	if !load.Valid {
 		return
 	}
+	if settled := s.settled(l.now - reportFresh); settled > 0 {
+		gain := staleGain
+		if load.InFlight > settled-0.5 {
+			l.stale -= gain * l.stale
+		} else {
+			l.stale += gain * (1 - l.stale)
+		}
+	}
 	s.others = max(0, load.InFlight-float64(s.inflight))
 	s.othersAvg += 0.2 * (s.others - s.othersAvg)
 	s.reportAt = l.now
@@ -472,7 +477,8 @@
 		return own
 	}
 	age := l.now - s.reportAt
-	return own + s.othersAvg + (s.others-s.othersAvg)*math.Exp(-age/(2*max(1, l.unit)))
+	fresh := max(0, 1-staleDoubt*l.stale) * math.Exp(-age/(2*max(1, l.unit)))
+	return own + s.othersAvg + (s.others-s.othersAvg)*fresh
 }
 
 // expected is the time a request sent now would take.
@@ -720,8 +726,7 @@
 			fit = append(fit, s)
 		}
 	}
-	out := func(o *request) bool { return o.open > 0 }
-	if len(fit) == 0 && !r.late && !slices.ContainsFunc(l.openList, out) {
+	if len(fit) == 0 && !r.late && l.outstanding == 0 {
 		return l.draw(open) // never refuse all on old evidence: one request is always out to learn from
 	}
 	for len(fit) > 0 {
@@ -742,9 +747,7 @@
 	r.held, r.open = false, r.open+1
 	s.inflight++
 	s.open = append(s.open, r)
-	if r.open == 1 {
-		l.openList = append(l.openList, r)
-	}
+	l.outstanding++
 	l.do(Send{ID: r.id, Server: s.ID, StopAt: r.expires})
 	l.wakeSweep()
 }
@@ -758,6 +761,7 @@
 	s := a.server
 	a.open = false
 	r.open--
+	l.outstanding--
 	s.inflight--
 	s.drop(r)
 	l.report(s, e.Load)
@@ -842,58 +846,15 @@
 	}
 }
 
-// ---- time: held requests and overdue attempts
+// ---- time: held requests
 
 func (l *Logic) wakeSweep() {
-	if !l.sweeping && (len(l.heldQueue) > 0 || len(l.openList) > 0) {
+	if !l.sweeping && len(l.heldQueue) > 0 {
 		l.sweeping = true
 		l.do(SetTimer{"sweep", l.now + sweepEvery})
 	}
 }
 
-// sweep rescues overdue requests and dispatches what is held.
-func (l *Logic) sweep() {
-	kept := l.openList[:0]
-	for _, r := range l.openList {
-		if r.done || r.open == 0 {
-			continue
-		}
-		kept = append(kept, r)
-		if !r.rescued && !r.streamed {
-			l.rescue(r)
-		}
-	}
-	l.openList = kept
-	l.dispatch()
-	l.wakeSweep()
-}
-
-// rescue answers an attempt that stays out far too long: a second copy where that is allowed, else
-// withdraw and send again, while another server can still make the aim. The budget keeps heavy requests,
-// which are slow anywhere, from taking down one server after another.
-func (l *Logic) rescue(r *request) {
-	a := &r.attempts[len(r.attempts)-1]
-	if l.now-a.sentAt < rescueAt*a.expected || r.class.Effect == Unsafe || !l.mayResend(r) {
-		return
-	}
-	if !l.set.SecondCopies && (!l.set.MayCancel || a.server.failures < silentFailures) {
-		return // one slow answer is a heavy request: withdrawing throws its work away and doubles it
-	}
-	if r.class.Effect == Keyed {
-		r.ran(a) // it is out, so it may run: its group and window bind
-	}
-	s := l.pick(r)
-	if s == nil || s.expect > l.timeLeft(r) || !l.spendRetry() {
-		return
-	}
-	r.rescued = true
-	if l.set.SecondCopies {
-		l.send(r, s)
-		return
-	}
-	l.do(Cancel{r.id, len(r.attempts) - 1})
-}
-
 // ---- worth: who is served when not all can be
 
 // worth is what a timely answer earns.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -423,7 +423,7 @@
 	}
 }
 
-// Withdrawing a slow request throws its work away; without second copies only suspect servers warrant it.
+// A slow answer is mostly a heavy request: withdrawing it throws its work away, a copy doubles it.
 func TestSlowRequestIsNotWithdrawn(t *testing.T) {
 	set := settings()
 	set.SecondCopies = false
@@ -434,8 +434,8 @@
 	b.arrive("read", 2000)
 	b.acts = nil
 	b.pass(1000)
-	if n := count[Cancel](b.acts); n != 0 {
-		t.Errorf("%d withdrawn from a server without failures", n)
+	if n := count[Cancel](b.acts) + count[Send](b.acts); n != 0 {
+		t.Errorf("%d withdrawn or sent again while the answer may still come", n)
 	}
 }
 
@@ -479,6 +479,50 @@
 	}
 }
 
+// Guards against herds on late reports: a report that misses our own request is history, and every node
+// would run to the server that it shows idle.
+func TestLateReportsAreDoubted(t *testing.T) {
+	set := settings()
+	set.Reports = true
+	for _, late := range []bool{false, true} {
+		b := newBed(t, set, server3(1)...)
+		s := b.l.list[0]
+		for i := 0; i < 40; i++ {
+			b.l.report(s, Load{Valid: true, InFlight: 4})
+		}
+		b.arrive("read", 5000)
+		b.l.send(&request{id: 99, class: b.l.classes["read"], cost: 1, expires: b.now + 5000}, s)
+		for i := 0; i < 40; i++ {
+			b.now += reportFresh
+			b.l.now = b.now
+			load := Load{Valid: true, InFlight: 4 + float64(s.inflight)}
+			if late {
+				load.InFlight = 0
+			}
+			b.l.report(s, load)
+		}
+		if doubted := b.l.stale > 0.5; doubted != late {
+			t.Errorf("late %v: share of late reports taken to be %.2f", late, b.l.stale)
+		}
+	}
+}
+
+// A retry whose try is not cut short began some time ago all the same.
+func TestRetryHasUsedPartOfItsAim(t *testing.T) {
+	b := newBed(t, settings(), server3(1)...)
+	b.arrive("read", 1200) // the longest try, of a total of 2000
+	for _, c := range []struct {
+		ttl  Millis
+		left Millis
+	}{{1200, 400 - 280}, {1000, 400 - 1000}} {
+		r := &request{class: b.l.classes["read"], cost: 1, expires: b.now + c.ttl}
+		b.l.setAim(r, true)
+		if got := r.aimAt - b.now; math.Abs(got-c.left) > 1e-6 {
+			t.Errorf("retry with %.0f ms to live has %.0f ms of its aim left, want %.0f", c.ttl, got, c.left)
+		}
+	}
+}
+
 // Guards against a rush: all nodes would run to a server that has just warmed up and looks far faster.
 func TestWarmServerIsNotRushed(t *testing.T) {
 	b := newBed(t, settings(), server3(4)...)
--- a/logic/state.go
+++ b/logic/state.go
@@ -9,29 +9,30 @@
 
 // Logic decides for one node. It is pure: time and chance come in through Step and New.
 type Logic struct {
-	set       Settings
-	rng       *rand.Rand
-	now       Millis
-	out       []Action
-	servers   map[ServerID]*server
-	known     []*server // in the order first heard of
-	list      []*server // of these, the ready ones
-	classes   map[string]*classState
-	tenants   map[string]*tenantState
-	requests  map[RequestID]*request
-	heldQueue []*request
-	openList  []*request
-	started   bool
-	sweeping  bool
-	askDelay  Millis
-	askAt     Millis
-	asking    bool
-	subscribe bool
-	retries   float64 // tokens for further attempts
-	unit      Millis  // typical unit time over servers
-	hintMean  Millis
-	pool      []*server // scratch space of candidates
-	shared    bool
+	set         Settings
+	rng         *rand.Rand
+	now         Millis
+	out         []Action
+	servers     map[ServerID]*server
+	known       []*server // in the order first heard of
+	list        []*server // of these, the ready ones
+	classes     map[string]*classState
+	tenants     map[string]*tenantState
+	requests    map[RequestID]*request
+	heldQueue   []*request
+	outstanding int // attempts out
+	started     bool
+	sweeping    bool
+	askDelay    Millis
+	askAt       Millis
+	asking      bool
+	subscribe   bool
+	retries     float64 // tokens for further attempts
+	unit        Millis  // typical unit time over servers
+	hintMean    Millis
+	pool        []*server // scratch space of candidates
+	stale       float64   // share of reports that miss requests of ours: they come late
+	shared      bool
 }
 
 // attempt is one send of a request.
@@ -58,8 +59,6 @@
 	open     int
 	done     bool
 	held     bool
-	streamed bool
-	rescued  bool
 	probing  Millis // waits for probe results until then
 	mayRun   bool   // some attempt may have run
 	anchor   *server
@@ -222,3 +221,16 @@
 	ok, fail := s.window(now)
 	return float64(fail) / math.Max(1, float64(ok+fail))
 }
+
+// settled counts this node's attempts here that were sent before the given time.
+func (s *server) settled(before Millis) float64 {
+	n := 0.0
+	for _, r := range s.open {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; a.server == s && a.open && a.sentAt < before {
+				n++
+			}
+		}
+	}
+	return n
+}
