--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,8 @@
 	wellShare    = 0.3   // of those left: fewer, and the cause is shared
 
 	latencyGain = 0.2  // smoothing of latency and unit time: about the last five outcomes
+	paceGain    = 0.05 // the fleet's pace is learnt from every answer, so many times faster than a server's
+	paceSpan    = 8.0  // one heavy request must not pass for a slow fleet
 	classWorse  = 0.35 // one failure of a class at a server is a warning; two are believed
 	classGood   = 0.1  // and many successes are needed to forget them
 	classFaulty = 0.3
@@ -69,7 +71,7 @@
 	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: retryBurst, askDelay: askFirstWait}
-	l.unit = math.Inf(1)
+	l.unit, l.pace = math.Inf(1), 1
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
 		l.unit = min(l.unit, c.Aim/4) // until measured: four requests make an aim
@@ -274,7 +276,7 @@
 	}
 	if len(units) > 0 {
 		sort.Float64s(units)
-		l.unit = units[len(units)/2]
+		l.unit = units[len(units)/2] * l.pace
 	}
 	for _, s := range l.list {
 		if s.recentLen == 0 {
@@ -293,7 +295,7 @@
 
 // feltUnit is the time a server takes for each request in its hands.
 func (l *Logic) feltUnit(s *server) Millis {
-	unit := l.fade(s, s.unit)
+	unit := l.fade(s, s.unit*l.pace)
 	if !s.seen {
 		unit = l.typicalUnit(s) // not the guess of its first moment
 	}
@@ -346,8 +348,11 @@
 	}
 	s.latency += gain * (felt - s.latency)
 	unit := elapsed / (max(1, a.occupied-1+r.cost))
-	if good || (result == TimedOut || result == Cancelled) && unit > s.unit {
-		s.unit += gain * (unit - s.unit)
+	if good || (result == TimedOut || result == Cancelled) && unit > s.unit*l.pace {
+		if s.seen {
+			l.pace += paceGain * (min(paceSpan, unit/max(1e-3, s.unit)) - l.pace)
+		}
+		s.unit += gain * (unit/l.pace - s.unit)
 	}
 	s.seen = s.seen || good
 	s.outcomeAt = l.now
--- a/logic/state.go
+++ b/logic/state.go
@@ -31,6 +31,7 @@
 	unit        Millis  // typical unit time over servers
 	hintMean    Millis
 	pool        []*server // scratch space of candidates
+	pace        float64   // how much slower all servers are now than each is by its own record
 	stale       float64   // share of reports that miss requests of ours: they come late
 	shared      bool
 }
