--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	blindRisk    = 0.7  // without reports an idle server cannot be told: little more than fitShare
 	spareRisk    = 2.0  // an idle server may be tried at fitShare + this x the idle share of the time left
 	probeWidth   = 3    // servers asked for their load before a send: most of the gain of asking all
+	probePressed = 6    // asked when others wait already: then a free server is worth finding
 	probeWait    = 4.0  // several round trips in one site, and still little of any aim
 	staleGain    = 0.05 // some twenty reports tell whether they can be believed
 	staleDoubt   = 3.0  // a third of the reports missing our own requests: believe only their mean
@@ -565,9 +566,12 @@
 	if !l.set.MayProbe || !l.set.Reports || len(l.list) < 2 {
 		return
 	}
-	asked := 0
+	asked, width := 0, probeWidth
+	if len(l.heldQueue) > 1 {
+		width = probePressed
+	}
 	open := l.candidates(r)
-	for i := 0; i < probeWidth; i++ {
+	for i := 0; i < width; i++ {
 		s := l.draw(open)
 		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh {
 			continue
