--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,26 +18,26 @@
 	// The design's weights; the document's slot freshness has no counterpart here.
 	weightLatency, weightErrors, weightRecent = 0.4, 0.3, 0.1
 
-	cycle        = 250.0 // score cycle: a few answers per server, and little CPU
-	bucketCount  = 10    // the error window is ten buckets of a second: the design's 10 s
-	bucketLen    = 1000.0
-	recentCount  = 10    // outcomes that make the recent success rate, as the design has it
-	tripFailures = 3     // consecutive failures that exclude a server: the document's latency-sensitive profile
-	tripRate     = 0.5   // error rate that excludes one ...
-	tripMinimum  = 20    // ... over at least so many outcomes
-	cooldown     = 10000 // the document's latency-sensitive profile
-	wellRate     = 0.5   // a server is well while at least half its recent outcomes are
-	wellShare    = 0.3   // of those left: fewer, and the cause is shared
-
-	latencyGain = 0.2  // smoothing of latency and unit time: about the last five outcomes
-	paceGain    = 0.05 // the fleet's pace is learnt from every answer, so many times faster than a server's
-	paceSpan    = 8.0  // one heavy request must not pass for a slow fleet
-	classWorse  = 0.35 // one failure of a class at a server is a warning; two are believed
-	classGood   = 0.1  // and many successes are needed to forget them
-	classFaulty = 0.3
+	cycle        = 250.0  // score cycle: a few answers per server, and little CPU
+	bucketCount  = 10     // the error window is ten buckets of a second: the design's 10 s
+	bucketLen    = 1000.0 // a second
+	recentCount  = 10     // outcomes that make the recent success rate, as the design has it
+	tripFailures = 3      // consecutive failures that exclude a server: the document's latency-sensitive profile
+	tripRate     = 0.5    // error rate that excludes one ...
+	tripMinimum  = 20     // ... over at least so many outcomes
+	cooldown     = 10000  // the document's latency-sensitive profile
+	wellRate     = 0.5    // a server is well while at least half its recent outcomes are
+	wellShare    = 0.3    // of those left: fewer, and the cause is shared
+
+	latencyGain = 0.2          // smoothing of latency and unit time: about the last five outcomes
+	paceGain    = 0.05         // reached by one failure, kept by two
+	paceSpan    = 8.0          // one heavy request must not pass for a slow fleet
+	classWorse  = 0.35         // one failure of a class at a server is a warning; two are believed
+	classGood   = 0.1          // and many successes are needed to forget them
+	classFaulty = 0.3          // reached by one failure, kept by two
 	classMemory = 3 * cooldown // a trial of a class that must not run twice may cost a request
-	staleAfter  = 2000.0
-	staleDecay  = 4000.0 // a shunned server's unit time returns to the fleet's over some seconds
+	staleAfter  = 2000.0       // some service times without news make evidence stale
+	staleDecay  = 4000.0       // a shunned server's unit time returns to the fleet's over some seconds
 
 	redrawFactor = 1.5  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.45 // expected share of the time left that a first send may use; the rest is variance
@@ -52,14 +52,15 @@
 	staleDoubt   = 3.0  // a third of the reports missing our own requests: believe only their mean
 	reportFresh  = 8.0  // a report younger than this needs no probe
 
-	sweepEvery   = 10.0 // how often held requests are looked at, while there are any
-	retryAge     = 0.7  // of the aim: what the tries before a retry are taken to have used at most
-	retryShare   = 0.1  // further attempts per first try: client retries multiply them already
-	retryBurst   = 5.0
-	coldMargin   = 0.6  // of the cold budget; our capacity estimate may be off by half
-	coldBurst    = 0.25 // of a window's budget at once; the rest is spread within it
-	askFirstWait = 200.0
-	askLongest   = 5000.0
+	sweepEvery   = 10.0    // how often held requests are looked at, while there are any
+	missLimit    = 4       // after so many without a place the servers are full: looking on only costs CPU
+	retryAge     = 0.7     // of the aim: what the tries before a retry are taken to have used at most
+	retryShare   = 0.1     // further attempts per first try: client retries multiply them already
+	retryBurst   = 5.0     // lets a lost server's requests move at once
+	coldMargin   = 0.6     // of the cold budget; our capacity estimate may be off by half
+	coldBurst    = 0.25    // of a window's budget at once; the rest is spread within it
+	askFirstWait = 200.0   // a first failure may be chance
+	askLongest   = 5000.0  // discovery must not be rushed, nor forgotten
 	goalMemory   = 30000.0 // time constant of the served shares per class and tenant
 	rateMemory   = 3000.0  // time constant of the tenants' rates
 )
@@ -240,7 +241,7 @@
 	return min(1, l.set.ColdFrom+(1-l.set.ColdFrom)*age/l.set.ColdFor)
 }
 
-// coldRate is the cost a second-fraction (per ms) this node may send a cold server: its part of the
+// coldRate is the cost per millisecond that this node may send a cold server: its part of the
 // budget, had every node sent as much. Everything sent counts, refused work too.
 func (l *Logic) coldRate(s *server) float64 {
 	return coldMargin * l.set.FallMultiple * l.ramp(s) / l.typicalUnit(s) / float64(l.set.Nodes)
@@ -460,12 +461,11 @@
 		return
 	}
 	if settled := s.settled(l.now - reportFresh); settled > 0 {
-		gain := staleGain
-		if load.InFlight > settled-0.5 {
-			l.stale -= gain * l.stale
-		} else {
-			l.stale += gain * (1 - l.stale)
+		missed := 0.0 // a report that misses requests we sent before comes late
+		if load.InFlight <= settled-0.5 {
+			missed = 1
 		}
+		l.stale += staleGain * (missed - l.stale)
 	}
 	s.others = max(0, load.InFlight-float64(s.inflight))
 	s.othersAvg += 0.2 * (s.others - s.othersAvg)
@@ -601,7 +601,7 @@
 		r.value = l.marginalWorth(r)
 	}
 	sort.SliceStable(queue, func(i, j int) bool { return queue[i].value > queue[j].value })
-	ahead := 0.0
+	ahead, misses := 0.0, 0
 	probing := slices.ContainsFunc(l.list, func(s *server) bool { return s.probeOut })
 	for _, r := range queue {
 		if r.done {
@@ -609,14 +609,21 @@
 		}
 		if probing && l.now < r.probing {
 			l.heldQueue = append(l.heldQueue, r)
-		} else if s := l.pick(r); s != nil {
-			l.send(r, s)
-		} else if l.hopeless(r, ahead) {
+			continue
+		}
+		if misses < missLimit || r.late {
+			if s := l.pick(r); s != nil {
+				l.send(r, s)
+				continue
+			}
+			misses++
+		}
+		if l.hopeless(r, ahead) {
 			l.giveUp(r)
-		} else {
-			ahead += r.cost
-			l.heldQueue = append(l.heldQueue, r)
+			continue
 		}
+		ahead += r.cost
+		l.heldQueue = append(l.heldQueue, r)
 	}
 	l.wakeSweep()
 }
