--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 	wellShare    = 0.3    // of those left: fewer, and the cause is shared
 
 	latencyGain = 0.2          // smoothing of latency and unit time: about the last five outcomes
-	paceGain    = 0.05         // reached by one failure, kept by two
+	paceGain    = 0.05         // the fleet's pace is learnt from every answer: far faster than a server's
 	paceSpan    = 8.0          // one heavy request must not pass for a slow fleet
 	classWorse  = 0.35         // one failure of a class at a server is a warning; two are believed
 	classGood   = 0.1          // and many successes are needed to forget them
