Let held requests keep the room they had on arrival

A fairness test showed newcomers passing held requests: the room a request might use was a share of its time left, so once held it hardly ever fitted again and was refused in the end. The room is now a share of the whole aim, bounded by 0.7 of what is left.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,6 +41,7 @@
 
 	redrawFactor = 1.5  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.45 // expected share of the time left that a first send may use; the rest is variance
+	heldShare    = 0.7  // once held a request may use more of what is left: else each newcomer would pass it
 	herdFloor    = 0.6  // none is believed much faster than typical for its size: all nodes would run there
 	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
 	blindRisk    = 0.7  // without reports an idle server cannot be told: little more than fitShare
@@ -726,7 +727,7 @@
 // pick draws a server and redraws while the drawn one is crowded: when a request there would take much
 // longer than at the best. Nil when none would answer in time.
 func (l *Logic) pick(r *request) *server {
-	limit := fitShare * l.timeLeft(r)
+	limit := min(fitShare*(min(r.aimAt, r.expires)-r.arrived), heldShare*l.timeLeft(r))
 	if r.late {
 		limit = min(limit, 1.5*l.unit*r.cost)
 	}
@@ -907,7 +908,8 @@
 	l.book(r, func(s *share, w float64) { s.asked += w })
 }
 
-// quotaScale is this node's part of the tenants' quotas.
+// quotaScale is this node's part of the tenants' quotas. It is never more than the whole: with all tenants
+// over their quotas the loudest must not raise its own.
 func (l *Logic) quotaScale() float64 {
 	rate, quota := 0.0, 0.0
 	for _, t := range l.set.Tenants {
@@ -915,7 +917,7 @@
 		rate += st.rate * math.Exp(-(l.now-st.rateAt)/rateMemory)
 		quota += t.Quota
 	}
-	return max(1/float64(l.set.Nodes), rate/max(1, quota))
+	return min(1, max(1/float64(l.set.Nodes), rate/max(1, quota)))
 }
 
 func (l *Logic) book(r *request, add func(*share, float64)) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -523,6 +523,66 @@
 	}
 }
 
+// All bad together: the fleet's pace follows a shared slowdown, and its end, from all answers at once, long
+// before any one server's own record does.
+func TestFleetPaceFollowsSharedSlowness(t *testing.T) {
+	b := newBed(t, settings(), server3(12)...)
+	for i := 0; i < 120; i++ {
+		b.serve("read", 20, allOK)
+	}
+	before := b.l.unit
+	for i := 0; i < 24; i++ { // two answers a server
+		b.serve("read", 60, allOK)
+	}
+	if b.l.unit < 1.8*before {
+		t.Errorf("typical unit went from %.0f to %.0f ms after two slow answers a server", before, b.l.unit)
+	}
+	for i := 0; i < 120; i++ {
+		b.serve("read", 20, allOK)
+	}
+	if b.l.unit > 1.5*before {
+		t.Errorf("typical unit is %.0f ms after the slowdown, %.0f before", b.l.unit, before)
+	}
+	for _, s := range b.l.list {
+		if s.excluded {
+			t.Errorf("%s was excluded for slowness that all share", s.ID)
+		}
+	}
+}
+
+// Fairness: with one tenant far over its share, the other's requests go first.
+func TestMeekTenantIsServedUnderShortage(t *testing.T) {
+	set := settings()
+	set.Goal = Goal{Whole: 0.7, WorstTenant: 0.3}
+	set.Tenants = []Tenant{{Name: "loud", Quota: 10}, {Name: "meek", Quota: 10}}
+	b := newBed(t, set, server3(1)...)
+	tenant, sent := map[RequestID]string{}, map[string]int{}
+	for i := 0; i < 400; i++ { // ten times as many from the one as from the other
+		b.next++
+		name := "loud"
+		if i%11 == 0 {
+			name = "meek"
+		}
+		tenant[b.next] = name
+		acts := b.step(Arrival{ID: b.next, Class: "read", Tenant: name, Expires: b.now + 2000})
+		b.now += 10
+		if i%5 == 4 { // the server answers one request in 50 ms
+			if r := b.l.list[0].open; len(r) > 0 {
+				acts = append(acts, b.end(r[0].id, 0, "s0", OK, 50)...)
+			}
+		}
+		for _, a := range acts {
+			if s, ok := a.(Send); ok {
+				sent[tenant[s.ID]]++
+			}
+		}
+	}
+	meek, loud := float64(sent["meek"])/36, float64(sent["loud"])/364
+	if meek < 0.5 || meek < 2*loud {
+		t.Errorf("served %.0f%% of the meek tenant's and %.0f%% of the loud one's", 100*meek, 100*loud)
+	}
+}
+
 // Guards against a rush: all nodes would run to a server that has just warmed up and looks far faster.
 func TestWarmServerIsNotRushed(t *testing.T) {
 	b := newBed(t, settings(), server3(4)...)
