Send nothing past the end of its time; fit share 0.40 of the aim

The fuzz target found that the one request kept out when nothing fits could be sent after its client had left, when a node was late itself.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,7 +40,7 @@
 	staleDecay  = 4000.0       // a shunned server's unit time returns to the fleet's over some seconds
 
 	redrawFactor = 1.5  // a draw is repeated when its expected time exceeds the best by so much
-	fitShare     = 0.45 // expected share of the time left that a first send may use; the rest is variance
+	fitShare     = 0.4  // expected share of the time left that a first send may use; the rest is variance
 	heldShare    = 0.7  // once held a request may use more of what is left: else each newcomer would pass it
 	herdFloor    = 0.6  // none is believed much faster than typical for its size: all nodes would run there
 	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
@@ -743,7 +743,7 @@
 			fit = append(fit, s)
 		}
 	}
-	if len(fit) == 0 && !r.late && l.outstanding == 0 {
+	if len(fit) == 0 && !r.late && l.outstanding == 0 && l.timeLeft(r) > 0 {
 		return l.draw(open) // never refuse all on old evidence: one request is always out to learn from
 	}
 	for len(fit) > 0 {
