--- a/logic/logic.go
+++ b/logic/logic.go
@@ -532,6 +532,10 @@
 	l.requests[r.id] = r
 	l.setAim(r, e.Retry)
 	l.countArrival(r, e.Retry)
+	if r.late && c.LateShare <= 0 { // worth nothing by now: work on it would make others late as well
+		l.giveUp(r)
+		return
+	}
 	l.hold(r)
 	l.askLoad(r)
 	l.dispatch()
@@ -612,7 +616,7 @@
 			l.heldQueue = append(l.heldQueue, r)
 			continue
 		}
-		if misses < missLimit || r.late {
+		if misses < missLimit {
 			if s := l.pick(r); s != nil {
 				l.send(r, s)
 				continue
@@ -639,9 +643,6 @@
 
 // hopeless says that a held request cannot make its aim: refusing early spares servers and clients.
 func (l *Logic) hopeless(r *request, ahead float64) bool {
-	if r.late {
-		return true // nothing but an idle server is spent on it
-	}
 	best, n := math.Inf(1), 0
 	for _, s := range l.list {
 		if l.allowed(r, s) {
@@ -729,7 +730,7 @@
 func (l *Logic) pick(r *request) *server {
 	limit := min(fitShare*(min(r.aimAt, r.expires)-r.arrived), heldShare*l.timeLeft(r))
 	if r.late {
-		limit = min(limit, 1.5*l.unit*r.cost)
+		limit = heldShare * l.timeLeft(r)
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
@@ -934,7 +935,7 @@
 // the whole, and more where its class or its tenant is the worst served.
 func (l *Logic) marginalWorth(r *request) float64 {
 	if r.late {
-		return l.set.LateFailPrice * l.worth(r) / max(1e-9, r.cost) / 1e6
+		return r.class.LateShare * l.worth(r) / r.cost / 1e6 // after all that can still be in time
 	}
 	total, worstClass, worstTenant := 0.0, 1.0, 1.0
 	for _, c := range l.set.Classes {
