--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -583,6 +583,101 @@
 	}
 }
 
+// A group bad together: a lost hall is half the fleet, and all of it must be excluded while the rest is well.
+func TestLostHallIsExcludedWhole(t *testing.T) {
+	b := newBed(t, settings(), server3(6)...)
+	for i := 0; i < 60; i++ {
+		b.serve("read", 20, allOK)
+	}
+	lost := func(s ServerID) Result {
+		if s == "s3" || s == "s4" || s == "s5" {
+			return Unreachable
+		}
+		return OK
+	}
+	served, toLost := 0, 0
+	for i := 0; i < 400; i++ {
+		if s := b.serve("read", 20, lost); lost(s) == OK && s != "" {
+			served++
+		} else if i > 200 {
+			toLost++
+		}
+	}
+	if toLost > 10 {
+		t.Errorf("%d of the last 200 first sends still went to the lost hall", toLost)
+	}
+	if served < 300 {
+		t.Errorf("%d of 400 first sends served by the rest", served)
+	}
+}
+
+// Two at once: the fleet slows down while one server fails fast. The one must not pass for the fastest, and
+// the slow ones must not be excluded.
+func TestFastErrorsInASlowFleet(t *testing.T) {
+	b := newBed(t, settings(), server3(5)...)
+	for i := 0; i < 60; i++ {
+		b.serve("read", 20, allOK)
+	}
+	bad := 0
+	for i := 0; i < 300; i++ {
+		id, acts := b.arrive("read", 2000)
+		s := sentTo(acts)
+		switch {
+		case s == "":
+			continue
+		case s == "s2":
+			bad++
+			b.now += 2
+			for n, next := 0, s; next != ""; n++ {
+				res := OK
+				if next == "s2" {
+					res = Errored
+				}
+				next = sentTo(b.end(id, n, next, res, 2))
+			}
+		default:
+			b.now += 70
+			b.end(id, 0, s, OK, 70)
+		}
+		b.step(TimerFired{"cycle"})
+	}
+	if bad > 30 {
+		t.Errorf("%d of 300 went to the server that fails fast", bad)
+	}
+	for _, s := range b.l.list {
+		if s.excluded && s.ID != "s2" {
+			t.Errorf("%s was excluded for being slow with the rest", s.ID)
+		}
+	}
+}
+
+// The groups of a keyed class: where repeats may go, and when a refusal is harmless.
+func TestKeyedGroups(t *testing.T) {
+	servers := server3(4)
+	servers[3].Zone = "y"
+	for group, want := range map[Group]int{GroupAll: 4, GroupZone: 3, GroupCell: 2} {
+		set := settings()
+		set.Classes[1].Group = group
+		b := newBed(t, set, servers...)
+		r := &request{class: b.l.classes["put"], cost: 1, mayRun: true, anchor: b.l.servers["s0"], boundTo: b.now + 500}
+		got := 0
+		for _, s := range b.l.list {
+			if b.l.allowed(r, s) {
+				got++
+			}
+		}
+		if got != want {
+			t.Errorf("group %d: %d servers allowed, want %d", group, got, want)
+		}
+		b.acts = b.acts[:0]
+		b.l.out = nil
+		b.l.giveUp(r)
+		if refused := count[Refuse](b.l.out) == 1; refused != (group == GroupAll) {
+			t.Errorf("group %d: given up with %v", group, b.l.out)
+		}
+	}
+}
+
 // Guards against a rush: all nodes would run to a server that has just warmed up and looks far faster.
 func TestWarmServerIsNotRushed(t *testing.T) {
 	b := newBed(t, settings(), server3(4)...)
