--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -50,12 +50,13 @@
 
 // process is a running node.
 type process struct {
-	t    *testing.T
-	addr string
-	cmd  *exec.Cmd
-	log  *logBuffer
-	done chan struct{}
-	err  error
+	t      *testing.T
+	addr   string
+	config string // the configuration file
+	cmd    *exec.Cmd
+	log    *logBuffer
+	done   chan struct{}
+	err    error
 }
 
 // logBuffer keeps what a node writes.
@@ -132,6 +133,7 @@
 	p := &process{t: t, addr: addr, log: &logBuffer{}, done: make(chan struct{})}
 	p.cmd = exec.Command(program)
 	p.cmd.Env = environment(t, p.addr, s)
+	p.config = strings.TrimPrefix(p.cmd.Env[3], "ROUTER_CONFIG=")
 	p.cmd.Stderr = p.log
 	if s.stderr != nil {
 		p.cmd.Stderr = s.stderr
--- a/cmd/tackhub/main.go
+++ b/cmd/tackhub/main.go
@@ -40,12 +40,15 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT) // before anything that takes time: a stop may come at once
 	report := make(chan os.Signal, 1)
 	signal.Notify(report, syscall.SIGUSR1) // likewise: until then it would kill the process
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // likewise
 	// Else the next log line kills the node once whoever reads its log has gone.
 	signal.Ignore(syscall.SIGPIPE)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
+	running := c // as it was told, to compare a new file with
 	c.Limits.Sockets = limit(c.Limits)
 	count := &counters.Counters{}
 	sink := logs.NewSink(os.Stderr, &count.LogLines.Dropped)
@@ -67,6 +70,7 @@
 	n.start(ctx)
 	go n.onSignals(stop, listener, log)
 	go reportOn(ctx, report, log, count)
+	go n.reloadOn(ctx, reload, running, log)
 	err = n.ingress.Serve(listener)
 	cancel()
 	n.wait()
--- a/cmd/tackhub/standins_test.go
+++ b/cmd/tackhub/standins_test.go
@@ -235,6 +235,7 @@
 	raw      string // answered instead, where set
 	changed  chan struct{}
 	watches  int
+	ends     int // watches that the node has ended
 	answered atomic.Int64
 }
 
@@ -283,6 +284,9 @@
 		case <-changed:
 		case <-time.After(time.Duration(ms) * time.Millisecond):
 		case <-r.Context().Done():
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.ends++
 			return
 		}
 		d.mu.Lock()
@@ -307,3 +311,10 @@
 	defer d.mu.Unlock()
 	return d.watches
 }
+
+// ended is the number of watches that the node has ended.
+func (d *discovery) ended() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ends
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -39,15 +39,16 @@
 
 // Catalog follows discovery.
 type Catalog struct {
-	client *fasthttp.HostClient
-	hold   time.Duration
-	ask    bool // the list is followed only once asked for
-	asked  chan struct{}
-	log    *slog.Logger
-	count  *counters.Counters
+	hold  time.Duration
+	ask   bool // the list is followed only once asked for
+	asked chan struct{}
+	moved chan struct{} // discovery has another address
+	log   *slog.Logger
+	count *counters.Counters
 
 	mu        sync.RWMutex
 	addresses map[logic.ServerID]string
+	source    *source
 	news      News
 }
 
@@ -66,11 +67,9 @@
 	if o.MustAsk > 0 {
 		hold = min(hold, o.MustAsk/2)
 	}
-	c := &Catalog{hold: hold, ask: o.Subscribe, asked: make(chan struct{}, 1), log: o.Log, count: o.Count,
-		addresses: map[logic.ServerID]string{}}
-	c.client = &fasthttp.HostClient{Addr: o.Address, MaxConns: 2, MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize: maxList, MaxIdleConnDuration: time.Minute, NoDefaultUserAgentHeader: true,
-		DisablePathNormalizing: true}
+	c := &Catalog{hold: hold, ask: o.Subscribe, asked: make(chan struct{}, 1),
+		moved: make(chan struct{}, 1), log: o.Log, count: o.Count, addresses: map[logic.ServerID]string{},
+		source: newSource(o.Address)}
 	known.Complete = true
 	c.locate(known)
 	return c
@@ -105,37 +104,75 @@
 	// Told even where nothing is known: it is the module's first event, without which one that has to ask for
 	// the list would not begin to.
 	news.ListNews(logic.ServerList{Form: logic.ListCached, Entries: known.Entries()})
-	at := int64(-1) // nothing of this start yet: the cached list may be old
 	pause := retryFirst
-	for ctx.Err() == nil {
-		if c.ask && !c.waitAsked(ctx) {
+	for asked := !c.ask; ctx.Err() == nil; {
+		if !asked && !c.waitAsked(ctx) {
 			return
 		}
-		for ctx.Err() == nil {
-			next, err := c.call(at)
-			if err != nil {
-				c.failed(err, pause == retryFirst)
-				at = -1 // what was missed meanwhile is not known: take the whole list
-				break
-			}
-			at, pause = next, retryFirst
+		asked = !c.ask
+		src := c.current()
+		pause = c.follow(ctx, src, pause)
+		if src != c.current() { // the call was ended by us: go on there at once, and tell of no failure
+			c.arrived()
+			asked, pause = true, retryFirst
+			continue
 		}
 		if !c.ask {
-			sleep(ctx, pause/2+rand.N(pause))
+			c.rest(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, retryLongest)
 		}
 	}
 }
 
+// follow takes the whole list from a source and then its changes, until a call fails. What is held of another
+// source, or from before a failure, is not gone on from: revisions may not compare, and news was missed.
+func (c *Catalog) follow(ctx context.Context, src *source, pause time.Duration) time.Duration {
+	at := int64(-1)
+	for ctx.Err() == nil {
+		next, err := c.call(src, at)
+		if src != c.current() {
+			break
+		}
+		if err != nil {
+			c.failed(err, pause == retryFirst)
+			break
+		}
+		at, pause = next, retryFirst
+	}
+	return pause
+}
+
+// waitAsked waits until the module asks. Another address needs no asking: it goes on with what was asked for.
 func (c *Catalog) waitAsked(ctx context.Context) bool {
 	select {
 	case <-c.asked:
 		return true
+	case <-c.moved:
+		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// arrived forgets that discovery moved: it is followed there already.
+func (c *Catalog) arrived() {
+	select {
+	case <-c.moved:
+	default:
+	}
+}
+
+// rest waits before the next call; another address ends it.
+func (c *Catalog) rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.moved:
+	case <-ctx.Done():
+	}
+}
+
 func (c *Catalog) failed(err error, first bool) {
 	c.count.List.Failed.Inc()
 	if first { // the first of a row: an outage must not fill the log
@@ -145,17 +182,17 @@
 }
 
 // call asks once, for the whole list where no version is held, and tells what came.
-func (c *Catalog) call(at int64) (int64, error) {
+func (c *Catalog) call(src *source, at int64) (int64, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	uri, wait := "http://"+c.client.Addr+path, answerWait
+	uri, wait := "http://"+src.client.Addr+path, answerWait
 	if at >= 0 {
 		uri += "?from=" + strconv.FormatInt(at, 10) + "&hold_ms=" + strconv.FormatInt(c.hold.Milliseconds(), 10)
 		wait += c.hold
 	}
 	req.SetRequestURI(uri)
-	if err := c.client.DoTimeout(req, resp, wait); err != nil {
+	if err := src.client.DoTimeout(req, resp, wait); err != nil {
 		return 0, fmt.Errorf("%s: %w", path, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
@@ -199,12 +236,3 @@
 		c.addresses[logic.ServerID(m.ID)] = m.HostPort
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,20 +48,26 @@
 
 // Load reads the environment and the file.
 func Load(getenv func(string) string) (Config, error) {
-	path := getenv("ROUTER_CONFIG")
+	f, err := read(getenv("ROUTER_CONFIG"))
+	if err != nil {
+		return Config{}, err
+	}
+	f.override(getenv)
+	return f.check()
+}
+
+func read(path string) (f file, err error) {
 	if path == "" {
-		return Config{}, errors.New("ROUTER_CONFIG is not set")
+		return f, errors.New("ROUTER_CONFIG is not set")
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+		return f, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
-		return Config{}, fmt.Errorf("ROUTER_CONFIG: %s: %w", path, err)
+		return f, fmt.Errorf("ROUTER_CONFIG: %s: %w", path, err)
 	}
-	f.override(getenv)
-	return f.check()
+	return f, nil
 }
 
 // override lets the variables win over the file: they are what the machine's own manager set last.
