Take attempts that a server's report no longer holds for lost, not for load

Checked with traces of every attempt, of the sockets at each time-out and of every server's expected time at each refusal: the kernel's acknowledgements had come, nothing was unread, the servers' own reports held 1 to 4 requests where the node believed 13 to 15 in flight. Ruled out: connections (old and new, first and hundredth requests alike), classes, our descriptors, the excluded servers alone (with exclusion mended the refusals stayed at 63 to 78%).

To blame in logic.go: occupancy counted every attempt out, overdue took the oldest one for the server's silence, observe raised the unit time by each time-out (6 ms to 215 ms), judge counted time-outs as in a row though later sends had been answered, othersWell excluded one server after the other while all failed alike.

Now findLost marks attempts out that a fresh report does not hold; they are no load and no silence, and those that may be repeated are withdrawn and sent elsewhere while in time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,7 @@
 	tripRate     = 0.5    // error rate that excludes one ...
 	tripMinimum  = 20     // ... over at least so many outcomes
 	cooldown     = 10000  // the document's latency-sensitive profile
-	wellRate     = 0.5    // a server is well while at least half its recent outcomes are
+	wellRate     = 0.5    // beside a failing server one is well that fails at most half as often
 	wellShare    = 0.3    // of those left: fewer, and the cause is shared
 
 	latencyGain = 0.2          // smoothing of latency and unit time: about the last five outcomes
@@ -48,6 +48,7 @@
 	askAgain     = 0.25 // of a unit time: by then a few of the busy servers have finished a request
 	reportFresh  = 8.0  // a report younger than this needs no probe
 
+	lostAfter    = 3.0     // times the expected: out for longer and not in the report is not on its way
 	spareRisk    = 2.0     // times the idle share of the fleet: half idle, and a request may take all its time
 	nearLeast    = 2       // a choice, and as few others as can be share what this node then knows well
 	nearShared   = 4       // nodes at least that share a server, so that losing one or two changes little
@@ -247,13 +248,6 @@
 	}
 }
 
-func (l *Logic) typicalUnit(s *server) Millis {
-	if l.set.Sized && s.Size > 0 {
-		return l.unit / s.Size
-	}
-	return l.unit
-}
-
 // ramp is the least share of its capacity a server can have by now.
 func (l *Logic) ramp(s *server) float64 {
 	if s.Started <= 0 || l.set.ColdFor <= 0 {
@@ -340,8 +334,8 @@
 }
 
 // overdue is how long a server has kept silent over its oldest attempt: alone, or for each request ahead of
-// it. Answers to later sends end the silence: then that one request is lost or heavy, and the server is not
-// to be shunned for it.
+// it. An attempt that an answer to a later send has passed is lost or heavy, now and when its time is up: the
+// server is not to be shunned for it.
 func (l *Logic) overdue(s *server, each bool) Millis {
 	r, a := s.oldest()
 	if a == nil || l.classFault(s, r.class) {
@@ -376,10 +370,12 @@
 	}
 	s.latency += gain * (felt - s.latency)
 	unit := elapsed / (max(1, a.occupied-1+r.cost))
-	if good || (result == TimedOut || result == Cancelled) && unit > s.unit {
+	if good || (result == TimedOut || result == Cancelled) && unit > s.unit && !s.passed(a) {
 		s.unit += gain * (unit - s.unit)
 	}
-	s.seen = s.seen || good
+	if s.seen = s.seen || good; good {
+		s.answeredTo = max(s.answeredTo, a.sentAt)
+	}
 	s.outcomeAt = l.now
 	l.judge(s, result, a.sentAt)
 }
@@ -435,7 +431,9 @@
 	case result == Overloaded || result == Cancelled:
 		return
 	}
-	s.failures++
+	if sentAt >= s.answeredTo { // in the order of sending: answers to later sends have ended the row
+		s.failures++
+	}
 	if s.excluded {
 		s.trialAt = l.now + cooldown
 		return
@@ -456,14 +454,14 @@
 	l.logf("excluded %s: %d failures in a row, %d of %d in the window", s.ID, s.failures, fail, ok+fail)
 }
 
-// othersWell says that servers remain whose recent outcomes are good. Where none is left the cause is shared,
-// or is this node, and excluding would only heap the load on the last.
+// othersWell says that servers remain that clearly fail less. Where few do the cause is shared, or is this
+// node, and excluding one after the other would only heap the load on the last.
 func (l *Logic) othersWell(s *server) bool {
 	well, left := 0.0, 0.0
 	for _, o := range l.list {
 		if o != s && !o.excluded && o.recentLen > 0 { // of those never heard of nothing is known
 			left++
-			if o.recentRate() >= wellRate {
+			if 1-o.recentRate() <= wellRate*(1-s.recentRate()) {
 				well++
 			}
 		}
@@ -485,12 +483,40 @@
 	if !load.Valid {
 		return
 	}
-	s.others = max(0, load.InFlight-float64(s.inflight))
+	l.findLost(s, load)
+	s.others = max(0, load.InFlight-float64(s.inflight-s.lost))
 	s.othersAvg = l.usualOthers(s) + 0.2*(s.others-l.usualOthers(s))
 	s.reportAt = l.now
 	l.crowd += crowdGain * (s.others - l.crowd)
 }
 
+// findLost marks the attempts out at a server that its report does not hold, oldest first, of those that
+// an answer to a later send has passed or that take far longer than expected. They are no load, and their
+// silence says nothing of its speed. One that may be repeated is sent elsewhere while it is in time, at no
+// cost to the budget: no server has work of it.
+func (l *Logic) findLost(s *server, load Load) {
+	missing := -load.InFlight
+	for _, r := range s.open {
+		if l.now-r.at(s).sentAt > reportFresh {
+			missing++
+		}
+	}
+	s.lost = 0
+	for _, r := range slices.Clone(s.open) {
+		a := r.at(s)
+		out, known := l.now-a.sentAt, a.lost
+		a.lost = missing >= 1 && out > reportFresh && (a.sentAt < s.answeredTo || out > lostAfter*a.expected)
+		if !a.lost {
+			continue
+		}
+		missing--
+		s.lost++
+		if !known && l.set.MayCancel && !r.done && r.class.Effect != Unsafe && l.now < r.aimAt {
+			l.do(Cancel{r.id, r.number(a)})
+		}
+	}
+}
+
 // usualOthers is what the other nodes usually have at a server: its own mean, or the fleet's where its last
 // report is old. A node that hears of a server once a minute must not take silence for an empty server.
 func (l *Logic) usualOthers(s *server) float64 {
@@ -503,7 +529,7 @@
 // occupancy estimates the requests a server has in hand. Reports age toward their mean; without any the
 // other nodes are taken to send as much as this one.
 func (l *Logic) occupancy(s *server) float64 {
-	own := float64(s.inflight)
+	own := float64(s.inflight - s.lost)
 	if !l.set.Reports {
 		return own
 	}
@@ -661,14 +687,6 @@
 	l.wakeSweep()
 }
 
-// timeLeft is the time in which an answer still has its worth.
-func (l *Logic) timeLeft(r *request) Millis {
-	if r.late {
-		return r.expires - l.now
-	}
-	return min(r.aimAt, r.expires) - l.now
-}
-
 // hopeless says that a held request cannot make its aim: refusing early spares servers and clients.
 func (l *Logic) hopeless(r *request, ahead float64) bool {
 	best, n := math.Inf(1), 0
@@ -813,6 +831,9 @@
 	r.open--
 	l.outstanding--
 	s.inflight--
+	if a.lost {
+		s.lost--
+	}
 	s.drop(r)
 	l.report(s, e.Load)
 	l.observe(s, r, a, e.Result, e.Elapsed)
@@ -834,14 +855,6 @@
 	l.dispatch()
 }
 
-// ran marks that an attempt may have run: the first one binds a keyed request's repeats.
-func (r *request) ran(a *attempt) {
-	r.mayRun = true
-	if r.anchor == nil || a.sentAt+r.class.Window < r.boundTo {
-		r.anchor, r.boundTo = a.server, a.sentAt+r.class.Window
-	}
-}
-
 // again decides on a request whose attempts have all ended without an answer. An unreachable server had no
 // work of it, so going on costs no budget.
 func (l *Logic) again(r *request, last Result) {
@@ -875,16 +888,6 @@
 	return max(0, min(l.set.MaxRetryAfter, wait, comeBack*l.timeLeft(r)))
 }
 
-func (l *Logic) finish(r *request) {
-	r.done, r.held = true, false
-	l.forget(r)
-}
-
-func (l *Logic) forget(r *request) {
-	if r.open == 0 {
-		delete(l.requests, r.id)
-	}
-}
 func (l *Logic) wakeSweep() {
 	if !l.sweeping && len(l.heldQueue) > 0 {
 		l.sweeping = true
@@ -936,16 +939,6 @@
 	return min(1, max(1/float64(l.set.Nodes), rate/max(1, quota)))
 }
 
-func (l *Logic) book(r *request, add func(*share, float64)) {
-	w := l.worth(r)
-	r.class.decay(l.now)
-	add(&r.class.share, w)
-	if r.tenant != nil && !r.overQuo {
-		r.tenant.decay(l.now)
-		add(&r.tenant.share, w)
-	}
-}
-
 // marginalWorth is what serving a request adds to the operator's goal for each unit of work: its worth in
 // the whole, and more where its class or its tenant is the worst served.
 func (l *Logic) marginalWorth(r *request) float64 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1059,3 +1059,103 @@
 		}
 	}
 }
+
+// lossy has two warm servers that report their load, and one request out at each of them in turn.
+func lossy(t *testing.T, class string) (b *bed, lost RequestID, at ServerID) {
+	t.Helper()
+	set := settings()
+	set.Reports = true
+	b = newBed(t, set, server3(4)...)
+	for range 60 {
+		b.serve("read", 20, allOK)
+	}
+	lost, acts := b.arrive(class, 2000)
+	if at = sentTo(acts); at == "" {
+		t.Fatal("not sent")
+	}
+	b.now += 200 // ten times the usual
+	return b, lost, at
+}
+
+// Guards against a request that a server has taken and lost: its report, fresh, no longer holds it.
+func TestLostAttemptIsSentElsewhereAndNoLoad(t *testing.T) {
+	b, id, at := lossy(t, "read")
+	acts := b.step(ProbeEnd{Server: at, Result: OK, Load: Load{Valid: true}})
+	if count[Cancel](acts) != 1 {
+		t.Fatalf("%v, want the lost attempt withdrawn", acts)
+	}
+	if occ := b.l.occupancy(b.l.servers[at]); occ >= 1 {
+		t.Errorf("the lost attempt counts as load: %v in hand", occ)
+	}
+	if over := b.l.overdue(b.l.servers[at], false); over != 0 {
+		t.Errorf("the server is held to be silent for %v ms over it", over)
+	}
+	acts = b.end(id, 0, at, Cancelled, 200)
+	if to := sentTo(acts); to == "" || to == at {
+		t.Errorf("sent to %q next, want another server", to)
+	}
+}
+
+// One that the report still holds is slow, not lost; one that must not run twice is left to its answer.
+func TestOnlyTheLostAreWithdrawn(t *testing.T) {
+	b, _, at := lossy(t, "read")
+	if acts := b.step(ProbeEnd{Server: at, Result: OK, Load: Load{Valid: true, InFlight: 1}}); count[Cancel](acts) != 0 {
+		t.Errorf("%v: the server has it", acts)
+	}
+	b, _, at = lossy(t, "bill")
+	if acts := b.step(ProbeEnd{Server: at, Result: OK, Load: Load{Valid: true}}); count[Cancel](acts) != 0 {
+		t.Errorf("%v: it may have run", acts)
+	}
+	if b.l.servers[at].lost != 1 {
+		t.Error("it counts as load, though the server does not have it")
+	}
+}
+
+// Guards against time-outs of lost requests making a server that answers all others look slow.
+func TestPassedTimeOutIsNotTheServersSpeed(t *testing.T) {
+	b := newBed(t, settings(), server3(1)...)
+	for range 30 {
+		b.serve("read", 20, allOK)
+	}
+	unit := b.l.servers["s0"].unit
+	lost, _ := b.arrive("bill", 390)
+	b.now += 5
+	b.serve("read", 20, allOK)
+	b.now += 365
+	b.end(lost, 0, "s0", TimedOut, 390)
+	if got := b.l.servers["s0"].unit; got > unit*1.5 {
+		t.Errorf("unit time %v after the time-out, %v before", got, unit)
+	}
+	if b.l.servers["s0"].failures != 0 {
+		t.Error("a failure sent before the last answer counts as one in a row")
+	}
+}
+
+// Guards against excluding one server after the other where all lose a third of what they get.
+func TestServersThatFailAlikeAreKept(t *testing.T) {
+	b := newBed(t, settings(), server3(6)...)
+	for _, s := range b.l.list {
+		for i := range recentCount {
+			s.note(b.now, i%3 != 0)
+		}
+	}
+	for _, s := range b.l.list {
+		for range tripFailures {
+			b.l.judge(s, Broken, b.now)
+		}
+	}
+	for _, s := range b.l.list {
+		if s.excluded {
+			t.Errorf("%s is excluded and fails %v, as the others do", s.ID, 1-s.recentRate())
+		}
+	}
+	for _, s := range b.l.list[1:] {
+		for range recentCount {
+			s.note(b.now, true)
+		}
+	}
+	b.l.judge(b.l.list[0], Broken, b.now)
+	if !b.l.list[0].excluded {
+		t.Error("the only one that fails is kept")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -48,6 +48,7 @@
 	occupied float64 // requests expected at the server, this one included, when it was sent
 	expected Millis
 	open     bool
+	lost     bool // not in the server's hands, by its latest report
 }
 
 // request is one request in this node's hands.
@@ -127,6 +128,8 @@
 	unit          Millis // time for each request in its hands: its speed as felt from here
 	seen          bool   // unit stems from its own outcomes
 	outcomeAt     Millis
+	answeredTo    Millis  // the latest send that was answered
+	lost          int     // own attempts that it does not have in hand, by its latest report
 	place         float64 // on the ring
 	buckets       [bucketCount]bucket
 	recent        [recentCount]bool
@@ -216,14 +219,34 @@
 	return s.served / s.asked
 }
 
-// oldest is the longest outstanding attempt.
+// passed tells whether an attempt was lost, or passed by the answer to a later one.
+func (s *server) passed(a *attempt) bool { return a.lost || a.sentAt < s.answeredTo }
+
+// at is a request's open attempt at a server; one of the open requests there has one.
+func (r *request) at(s *server) *attempt {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.server == s && a.open {
+			return a
+		}
+	}
+	return nil
+}
+
+// number is an attempt's place among the request's.
+func (r *request) number(a *attempt) int {
+	for i := range r.attempts {
+		if &r.attempts[i] == a {
+			return i
+		}
+	}
+	return -1
+}
+
+// oldest is the longest outstanding attempt that is neither lost nor passed.
 func (s *server) oldest() (*request, *attempt) {
 	for _, r := range s.open {
-		for i := range r.attempts {
-			a := &r.attempts[i]
-			if a.server == s && a.open {
-				return r, a
-			}
+		if a := r.at(s); a != nil && !s.passed(a) {
+			return r, a
 		}
 	}
 	return nil, nil
@@ -270,3 +293,51 @@
 	slices.SortStableFunc(out, func(a, b *server) int { return cmp.Compare(a.place, b.place) })
 	return out
 }
+
+// ran marks that an attempt may have run: the first one binds a keyed request's repeats.
+func (r *request) ran(a *attempt) {
+	r.mayRun = true
+	if r.anchor == nil || a.sentAt+r.class.Window < r.boundTo {
+		r.anchor, r.boundTo = a.server, a.sentAt+r.class.Window
+	}
+}
+
+// forget drops a request once nothing of it is out.
+func (l *Logic) forget(r *request) {
+	if r.open == 0 {
+		delete(l.requests, r.id)
+	}
+}
+
+// book adds a request's worth to the shares of its class and its tenant.
+func (l *Logic) book(r *request, add func(*share, float64)) {
+	w := l.worth(r)
+	r.class.decay(l.now)
+	add(&r.class.share, w)
+	if r.tenant != nil && !r.overQuo {
+		r.tenant.decay(l.now)
+		add(&r.tenant.share, w)
+	}
+}
+
+// timeLeft is the time in which an answer still has its worth.
+func (l *Logic) timeLeft(r *request) Millis {
+	if r.late {
+		return r.expires - l.now
+	}
+	return min(r.aimAt, r.expires) - l.now
+}
+
+// typicalUnit is the fleet's time for each request in a server's hands, for its size.
+func (l *Logic) typicalUnit(s *server) Millis {
+	if l.set.Sized && s.Size > 0 {
+		return l.unit / s.Size
+	}
+	return l.unit
+}
+
+// finish ends a request; its attempts may still be out.
+func (l *Logic) finish(r *request) {
+	r.done, r.held = true, false
+	l.forget(r)
+}
