Refuse ambiguous framing and open ids, and close bad or idle clients in time

Seen by a probe over sockets and in fasthttp 1.79's parser: it refuses signed, repeated and non-numeric lengths, but takes a length beside an encoding (the body is read as chunks, and a request may hide behind), the encoding identity, folded fields, names with spaces, and fields that come twice. A second request under an open id was served as well. Silent or half-sent connections lived 5 s (readTimeout in ingress/server.go), idle ones 90 s (idleTimeout); at the descriptor limit a silent one was kept 500 ms and accepting rested 5 ms a time (accept.go).

Now ingress/framing.go answers 400 and closes, admit.go turns away the id of an open request (409), signed deadlines and bodies with GET, 4xx ends the connection so that a flood ends with its first request, and a wait is cut to the class's hard limit. Silent and half-sent connections end after 2.5 s, idle ones after 3 s.

--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -42,6 +42,8 @@
 		return &rejection{fasthttp.StatusMethodNotAllowed, "wrong_method"}
 	case class.Effect == logic.Keyed && !t.hasKey:
 		return &rejection{fasthttp.StatusBadRequest, "no_key"}
+	case t.method == fasthttp.MethodGet && len(t.body) > 0:
+		return &rejection{fasthttp.StatusBadRequest, "body_with_get"}
 	}
 	wait, ok := parseDeadline(t.deadline)
 	if !ok {
@@ -50,6 +52,12 @@
 	if r.desk.o.Clock.Now() >= t.at+wait { // nothing was sent: saying so at once is all that is left
 		return &rejection{fasthttp.StatusGatewayTimeout, "deadline_past"}
 	}
+	if !r.claim() {
+		return &rejection{fasthttp.StatusConflict, "id_in_use"}
+	}
+	if class.HardLimit > 0 { // no client waits longer: a request held beyond it holds a connection for nothing
+		wait = min(wait, class.HardLimit)
+	}
 	r.class = class
 	r.wire = newOutgoing(t, t.at+wait)
 	return nil
@@ -75,10 +83,33 @@
 	return fasthttp.MethodPost
 }
 
-// parseDeadline reads whole milliseconds.
+// parseDeadline reads whole milliseconds: digits alone, so neither a sign nor an exponent.
 func parseDeadline(s string) (logic.Millis, bool) {
-	n, err := strconv.ParseInt(s, 10, 64)
-	return logic.Millis(min(n, maxDeadline)), err == nil && n >= 0
+	n, err := strconv.ParseUint(s, 10, 63)
+	return logic.Millis(min(n, maxDeadline)), err == nil
+}
+
+// claim takes the request's id while it is open; false where another open request has it. Two under one id could
+// not be told apart at a server, and an answer to one might pass for the other's.
+func (r *request) claim() bool {
+	r.desk.mu.Lock()
+	defer r.desk.mu.Unlock()
+	if _, taken := r.desk.open[r.taken.id]; taken {
+		return false
+	}
+	r.desk.open[r.taken.id] = struct{}{}
+	r.claimed = true
+	return true
+}
+
+// release gives the id back.
+func (r *request) release() {
+	if !r.claimed {
+		return
+	}
+	r.desk.mu.Lock()
+	defer r.desk.mu.Unlock()
+	delete(r.desk.open, r.taken.id)
 }
 
 // parseHint reads microseconds into milliseconds; an odd hint counts as none.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 import (
 	"log/slog"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -48,11 +49,14 @@
 type Desk struct {
 	o       Options
 	classes map[string]logic.Class
+
+	mu   sync.Mutex
+	open map[string]struct{} // the ids of open requests, at most one for each client's connection
 }
 
 // NewDesk makes a desk.
 func NewDesk(o Options) *Desk {
-	d := &Desk{o: o, classes: map[string]logic.Class{}}
+	d := &Desk{o: o, classes: map[string]logic.Class{}, open: map[string]struct{}{}}
 	for _, c := range o.Classes {
 		d.classes[c.Name] = c
 	}
@@ -64,17 +68,19 @@
 	EndLeft  = "client_left"  // closed while its request was in hand
 	EndPanic = "panic"        // handling its request went wrong
 	EndAsked = "client_asked" // the request said that the connection was to close
+	EndBad   = "bad_request"  // what came is not in the protocol's form, or could not be read
 )
 
 // request is one exchange on its way through the stages.
 type request struct {
-	desk   *Desk
-	taken  taken
-	class  logic.Class
-	wire   outgoing
-	answer chan engine.Answer
-	ticket engine.Ticket
-	routed bool
+	desk    *Desk
+	taken   taken
+	class   logic.Class
+	wire    outgoing
+	answer  chan engine.Answer
+	ticket  engine.Ticket
+	routed  bool
+	claimed bool // its id is on the desk's list
 }
 
 // Serve takes one request through all stages. A panic in it ends this request and its connection only.
@@ -82,6 +88,7 @@
 	r := &request{desk: d, answer: make(chan engine.Answer, 1)}
 	d.o.Count.Requests.Taken.Inc()
 	d.o.Count.Requests.Open.Inc()
+	defer r.release()
 	defer func() {
 		if p := recover(); p != nil {
 			d.o.Log.Error("panic in a request", "code", EndPanic, "panic", p, "stack", string(debug.Stack()))
@@ -94,6 +101,11 @@
 	r.taken = takeIn(ctx, client, d.o.Clock)
 	if bad := r.admit(); bad != nil {
 		r.book(ctx, bad.ending())
+		if bad.status < fasthttp.StatusInternalServerError {
+			// The client is at fault: what else it has sent goes unread, and a flood ends with its first request.
+			client.Ends(EndBad)
+			ctx.SetConnectionClose()
+		}
 		return
 	}
 	r.route()
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// pauseStep is how long accepting rests when descriptors have run out: connections end within a request's
-	// time, and a busy loop would take the core from those that do.
-	pauseStep = 5 * time.Millisecond
+	// pauseStep is how long accepting rests when descriptors have run out: one that was told to make way has gone
+	// by then, and a busy loop would take the core from those that end.
+	pauseStep = time.Millisecond
 
-	// firstLeast is how long a connection that has sent nothing yet is kept when descriptors run out: a busy
-	// client needs less, and one that never sends must not hold a place for long.
-	firstLeast = 500 * time.Millisecond
+	// firstLeast is how long a connection that has sent nothing yet is kept when descriptors run out: a client with
+	// a request sends it at once, and hundreds that never do must not keep the others out for long.
+	firstLeast = 150 * time.Millisecond
 )
 
 // Serve accepts connections until a drain is over.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tackhub.example/tackhub/internal/exchange"
 )
 
 // The reason codes with which a client's connection ends, besides those that an exchange gives;
@@ -20,7 +22,7 @@
 	endReset   = "client_reset"     // broken by the client or the network
 	endIdle    = "idle"             // nothing came for the idle time
 	endSlow    = "slow_request"     // a request did not arrive whole in time
-	endBad     = "bad_request"      // what came could not be read as a request
+	endBad     = exchange.EndBad    // what came could not be read as a request
 	endWrite   = "write_failed"     // the answer could not be written
 	endEvicted = "descriptor_limit" // idle, and closed to make room
 	endDrained = "drained"          // the node is ending
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -16,16 +16,16 @@
 )
 
 const (
-	// readTimeout bounds a request's arrival and the wait for a connection's first one; the protocol's longest
-	// deadline is 3 s, so a request that takes longer has nobody waiting for it.
-	readTimeout = 5 * time.Second
+	// readTimeout bounds a request's arrival and the wait for a connection's first one: who says nothing, or half
+	// of something, is to be told or closed within 3 s of connecting.
+	readTimeout = 2500 * time.Millisecond
 
 	// writeTimeout bounds the writing of an answer to a client that does not read.
 	writeTimeout = 3 * time.Second
 
-	// idleTimeout is how long a client's connection may stand between requests. Clients keep theirs; closing
-	// one costs them a new connection.
-	idleTimeout = 90 * time.Second
+	// idleTimeout is how long a client's connection may stand between requests: by the operators' page it may go
+	// after 2 s. Clients that ask once and stay would else hold a descriptor and buffers each for good.
+	idleTimeout = 3 * time.Second
 
 	maxBody = 64 << 10 // the protocol's
 
@@ -121,10 +121,13 @@
 	c.mu.Lock()
 	c.requests++
 	c.mu.Unlock()
-	switch string(ctx.Request.Header.RequestURI()) {
-	case healthPath:
+	bad := badFraming(&ctx.Request.Header)
+	switch uri := string(ctx.Request.Header.RequestURI()); {
+	case bad != "":
+		s.refuse(ctx, c, fasthttp.StatusBadRequest, bad)
+	case uri == healthPath:
 		s.health(ctx)
-	case countersPath:
+	case uri == countersPath:
 		ctx.SetContentType("application/json")
 		ctx.SetBody(s.o.Count.JSON())
 	default:
@@ -161,9 +164,16 @@
 	case isTimeout(err):
 		status, code = fasthttp.StatusRequestTimeout, "slow"
 	}
+	c, _ := ctx.Conn().(*conn)
+	s.refuse(ctx, c, status, code)
+}
+
+// refuse answers what is no request, and ends its connection: what follows on it can't be told from what came.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, c *conn, status int, code string) {
 	s.o.Count.Rejections.Inc(code)
-	if c, ok := ctx.Conn().(*conn); ok {
+	if c != nil {
 		c.Ends(endBad)
 	}
 	ctx.SetStatusCode(status)
+	ctx.SetConnectionClose()
 }
