Take no answer whose head or length can be read in two ways, and let connections rest

The pool gave the connection that had just answered (pool.go, pop), on which a second copy or a close may still be on its way. The module kept every server ever listed (logic.go, serverList).

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -121,6 +121,9 @@
 	if _, err := c.r.Peek(1); err != nil {
 		return endReset, err
 	}
+	if err := finalHead(c.r); err != nil {
+		return endBadAnswer, err
+	}
 	if err := resp.ReadLimitBody(c.r, maxBody); err != nil {
 		return endBadAnswer, err
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,6 +31,10 @@
 	// readBuffer holds any answer's head and most bodies at once.
 	readBuffer = 4096
 
+	// restFor is how long a connection rests after an answer, while others are to be had: a close, a second copy or
+	// noise right behind the answer comes within a few round trips, and must not meet the next request.
+	restFor = 5 * time.Millisecond
+
 	// idleShare of the settings' idle time is the longest that a connection is kept unused: a request written
 	// to one that the server is just closing ends as a reset, which may have run.
 	idleShare = 0.7
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +61,7 @@
 // errAddress says that the server has left the list.
 var errAddress = errors.New("no address for the server")
 
-// get takes an idle connection, the newest first, or opens one.
+// get takes an idle connection, the newest that has rested first, or opens one.
 func (p *Pool) get(ctx context.Context, id logic.ServerID) (*conn, error) {
 	addr, ok := p.o.Addresses.Address(id)
 	if !ok {
@@ -91,6 +92,7 @@
 	return limit > 0 && time.Since(c.idleSince) > limit
 }
 
+// pop takes out the newest idle connection that has rested; where none has, the one that has longest.
 func (p *Pool) pop(id logic.ServerID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,9 +100,12 @@
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[id] = list[:len(list)-1]
+	at := len(list) - 1
+	for at > 0 && time.Since(list[at].idleSince) < restFor {
+		at--
+	}
+	c := list[at]
+	p.idle[id] = slices.Delete(list, at, at+1)
 	return c
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -129,17 +129,25 @@
 	return c
 }
 
-func TestPoolTakesTheNewestFirst(t *testing.T) {
+// TestPoolTakesTheNewestThatHasRested: a close or a second copy right behind an answer must not meet the next request
+// while another connection is to be had.
+func TestPoolTakesTheNewestThatHasRested(t *testing.T) {
 	addr, _ := listener(t)
-	p, _ := testPool(addresses{"s1": addr}, 8, 8)
-	one, two := mustGet(t, p, "s1"), mustGet(t, p, "s1")
+	p, count := testPool(addresses{"s1": addr}, 8, 8)
+	one, two, three := mustGet(t, p, "s1"), mustGet(t, p, "s1"), mustGet(t, p, "s1")
 	p.put(one)
 	p.put(two)
-	if got := mustGet(t, p, "s1"); got != two {
-		t.Error("not the newest")
+	p.put(three)
+	one.idleSince = one.idleSince.Add(-2 * time.Minute / 10)
+	two.idleSince = two.idleSince.Add(-time.Minute / 10)
+	three.idleSince = time.Now().Add(time.Minute) // it has not rested, however long this test takes
+	for i, want := range []*conn{two, one, three} {
+		if got := mustGet(t, p, "s1"); got != want {
+			t.Errorf("%d: not the one wanted", i)
+		}
 	}
-	if got := mustGet(t, p, "s1"); got != one {
-		t.Error("not the other one")
+	if n := count.Servers.Dialed.Get(); n != 3 {
+		t.Errorf("%d dialled: one that has not rested is better than a new one", n)
 	}
 }
 
@@ -248,6 +256,11 @@
 		{"half a head", "HTTP/1.1 200 OK\r\nContent-", endBadAnswer},
 		{"oversized", "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), endBadAnswer},
 		{"nonsense", "hello\r\n\r\n", endBadAnswer},
+		{"nonsense without end", "hello there", endBadAnswer},
+		{"1xx ahead", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ""},
+		{"1xx only", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 20), endBadAnswer},
+		{"until it closes", "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nok", endAsked},
+		{"no end told", "HTTP/1.1 200 OK\r\n\r\nok", endBadAnswer},
 	} {
 		var resp fasthttp.Response
 		reason, err := read(&conn{r: bufio.NewReader(strings.NewReader(c.raw))}, &resp)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -178,6 +178,7 @@
 			l.list = append(l.list, s)
 		}
 	}
+	l.forgetGone()
 	l.chooseNear()
 	l.runScores()
 	l.dispatch()
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1159,3 +1159,25 @@
 		t.Error("the only one that fails is kept")
 	}
 }
+
+// Guards against memory that grows with every server ever seen: fleets are renewed all day under new names.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	b := newBed(t, settings(), server3(1)...)
+	id, acts := b.arrive("read", 2000)
+	at := sentTo(acts)
+	for i := range 500 {
+		e := ServerEntry{ID: ServerID(fmt.Sprintf("n%d", i)), Zone: "z", Size: 1}
+		b.step(ServerList{Form: ListDelta, Entries: []ServerEntry{e}})
+		e.State = Gone
+		b.step(ServerList{Form: ListDelta, Entries: []ServerEntry{e}})
+	}
+	b.step(ServerList{Form: ListFull, Entries: []ServerEntry{{ID: "last", Zone: "z", Size: 1}}})
+	if len(b.l.servers) != 2 || len(b.l.known) != 2 {
+		t.Errorf("%d and %d servers remembered, want the last and the one with a request out", len(b.l.servers), len(b.l.known))
+	}
+	b.end(id, 0, at, OK, 20)
+	b.step(ServerList{Form: ListFull, Entries: []ServerEntry{{ID: "last", Zone: "z", Size: 1}}})
+	if len(b.l.servers) != 1 || len(b.l.known) != 1 {
+		t.Errorf("%d and %d servers remembered, want the last", len(b.l.servers), len(b.l.known))
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -341,3 +341,14 @@
 	r.done, r.held = true, false
 	l.forget(r)
 }
+
+// forgetGone drops the servers that have left the list once nothing is out at them: fleets are renewed all day.
+func (l *Logic) forgetGone() {
+	l.known = slices.DeleteFunc(l.known, func(s *server) bool {
+		gone := s.State == Gone && s.inflight == 0
+		if gone {
+			delete(l.servers, s.ID)
+		}
+		return gone
+	})
+}
