Exclude a server for a row of failures only where chance does not make such rows

The log has sixteen exclusions at each node, of servers that had failed 8 to 10% of a few hundred, all alike, each left out for 10 s. Checked by a trace of each connection's rest, age and end: resets come at every server, on new and kept connections alike (8% and 6.5%), so no connection handling spares them.

To blame: judge in logic.go, which takes any three failures in a row for an end. At a failure share of 0.08 and a hundred outcomes a second that comes every twenty seconds. Now a row counts only where the share before it makes one that long rarer than 1e-6.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,6 +22,7 @@
 	bucketLen    = 1000.0 // a second
 	recentCount  = 10     // outcomes that make the recent success rate, as the design has it
 	tripFailures = 3      // consecutive failures that exclude a server: the document's latency-sensitive profile
+	tripChance   = 1e-6   // ... where its failure share before makes such a row rarer: seconds of a busy node
 	tripRate     = 0.5    // error rate that excludes one ...
 	tripMinimum  = 20     // ... over at least so many outcomes
 	cooldown     = 10000  // the document's latency-sensitive profile
@@ -418,7 +419,7 @@
 }
 
 // judge applies the exclusion triggers and the trial. Refusals because a server is full are load, not a
-// fault: excluding for them would topple the next server.
+// fault: excluding for them would topple the next. Where a share of all fails a short row is but chance.
 func (l *Logic) judge(s *server, result Result, sentAt Millis) {
 	switch {
 	case s.excluded && sentAt < s.trialAt:
@@ -440,7 +441,9 @@
 		return
 	}
 	ok, fail := s.window(l.now)
-	if s.failures < tripFailures && (ok+fail < tripMinimum || float64(fail) < tripRate*float64(ok+fail)) {
+	before := float64(max(0, fail-s.failures)) / float64(max(1, ok+fail-s.failures))
+	row := s.failures >= tripFailures && math.Pow(before, float64(s.failures)) <= tripChance
+	if !row && (ok+fail < tripMinimum || float64(fail) < tripRate*float64(ok+fail)) {
 		return
 	}
 	if !l.othersWell(s) {
@@ -898,18 +901,6 @@
 
 // ---- worth: who is served when not all can be
 
-// worth is what a timely answer earns.
-func (l *Logic) worth(r *request) float64 {
-	w := r.class.Worth
-	if l.set.CountWork {
-		w *= r.cost
-	}
-	if r.overQuo {
-		w *= l.set.OverShare
-	}
-	return w
-}
-
 // countArrival books a first try to its class and tenant, and tells whether the tenant is over its share.
 // A node that sees more than its part of all traffic scales the quotas alike.
 func (l *Logic) countArrival(r *request, retry bool) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1181,3 +1181,31 @@
 		t.Errorf("%d and %d servers remembered, want the last", len(b.l.servers), len(b.l.known))
 	}
 }
+
+// Guards against excluding servers for rows that chance makes where a tenth of all attempts break, and against
+// sparing one that has really gone.
+func TestShortRowsAreChanceWhereAShareFails(t *testing.T) {
+	b := newBed(t, settings(), server3(3)...)
+	for _, s := range b.l.list {
+		for i := range 200 {
+			s.note(b.now, s.ID != "s0" || i%10 != 0)
+		}
+	}
+	row := func(s *server, n int) bool {
+		for range n {
+			s.note(b.now, false)
+			b.l.judge(s, Broken, b.now)
+		}
+		return s.excluded
+	}
+	flaky, clean := b.l.servers["s0"], b.l.servers["s1"]
+	if row(flaky, tripFailures) {
+		t.Error("a row of three excludes a server of which a tenth fails anyway")
+	}
+	if !row(flaky, 5) {
+		t.Error("a row of eight does not")
+	}
+	if !row(clean, tripFailures) {
+		t.Error("a row of three does not exclude a server that never failed")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -352,3 +352,15 @@
 		return gone
 	})
 }
+
+// worth is what a timely answer earns.
+func (l *Logic) worth(r *request) float64 {
+	w := r.class.Worth
+	if l.set.CountWork {
+		w *= r.cost
+	}
+	if r.overQuo {
+		w *= l.set.OverShare
+	}
+	return w
+}
