--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,11 +32,13 @@
 	Discovery string `json:"discovery"`
 	FleetSize *int   `json:"fleet_size"`
 	Goal      struct {
-		Whole       float64 `json:"whole"`
-		WorstClass  float64 `json:"worst_class"`
-		WorstTenant float64 `json:"worst_tenant"`
-		WorstWindow float64 `json:"worst_window"`
-		Tail        float64 `json:"tail"`
+		Whole       float64  `json:"whole"`
+		WorstClass  float64  `json:"worst_class"`
+		WorstTenant float64  `json:"worst_tenant"`
+		WorstWindow float64  `json:"worst_window"`
+		Tail        float64  `json:"tail"`
+		Nines       float64  `json:"log_loss_part"`
+		NinesWanted *float64 `json:"nines_wanted"`
 	} `json:"goal"`
 	Me     int `json:"me"`
 	Limits struct {
@@ -45,6 +47,7 @@
 		ConnectMs     float64 `json:"connect_timeout_ms"`
 		MaxRetryAfter float64 `json:"max_retry_after_ms"`
 		MayCancel     bool    `json:"may_cancel"`
+		Peers         bool    `json:"peers"`
 		Probes        bool    `json:"probes"`
 		RetryAfter    bool    `json:"retry_after"`
 		SecondCopies  bool    `json:"second_copies"`
@@ -62,6 +65,8 @@
 	Prices    struct {
 		CrossZone float64 `json:"cross_zone"`
 		LateFail  float64 `json:"late_fail"`
+		Peer      float64 `json:"peer"`
+		Probe     float64 `json:"probe"`
 	} `json:"prices"`
 	Realms []struct {
 		Name  string  `json:"name"`
@@ -84,6 +89,7 @@
 type Settings struct {
 	Logic       logic.Settings
 	LoadAt      int          // place of the requests in flight in a load report; -1 where none is to be had
+	WaitingAt   int          // place of the requests that wait, likewise
 	LoadNames   []string     // the names of a report's figures, in order
 	ConnIdle    logic.Millis // servers close a connection that has stood idle for this time
 	AnswerSlack logic.Millis // how late after the client's deadline a final answer still counts
@@ -128,12 +134,13 @@
 		return Settings{}, wrong
 	}
 	set := decisions(&o)
-	loadAt := slices.Index(o.Report.Names, "concurrent")
+	loadAt, waitingAt := slices.Index(o.Report.Names, "concurrent"), slices.Index(o.Report.Names, "depth")
 	if o.Report.How == "none" {
-		loadAt = -1
+		loadAt, waitingAt = -1, -1
 	}
 	set.Reports = loadAt >= 0
-	return Settings{Logic: set, LoadAt: loadAt, LoadNames: o.Report.Names, ConnIdle: o.Limits.IdleMs,
+	set.ProbedOnly = o.Report.How == "probe"
+	return Settings{Logic: set, LoadAt: loadAt, WaitingAt: waitingAt, LoadNames: o.Report.Names, ConnIdle: o.Limits.IdleMs,
 		AnswerSlack: o.Rules.AnswerSlackMs}, nil
 }
 
@@ -142,7 +149,7 @@
 	s := logic.Settings{
 		Node: o.Me, Nodes: *o.FleetSize, Zone: o.Zone, OverShare: o.OverShare,
 		Goal: logic.Goal{Whole: o.Goal.Whole, WorstWindow: o.Goal.WorstWindow, WorstClass: o.Goal.WorstClass,
-			WorstTenant: o.Goal.WorstTenant, Tail: o.Goal.Tail},
+			WorstTenant: o.Goal.WorstTenant, Tail: o.Goal.Tail, Nines: o.Goal.Nines},
 		CountWork: o.CountedBy == "work", Subscribe: o.Discovery == "subscribe",
 		Sized: o.Weights == "nominal" || o.Weights == "rough", MarksRetry: o.Habits.MarksRetry,
 		DrainGrace: *o.Rules.StopMs, ColdFrom: *o.Rules.ColdFrom, ColdFor: *o.Rules.ColdMs,
@@ -150,7 +157,7 @@
 		MaxAttempts: *o.Limits.Attempts, MayCancel: o.Limits.MayCancel, MayProbe: o.Limits.Probes,
 		SecondCopies: o.Limits.SecondCopies, RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfter,
 		ConnectTimeout: o.Limits.ConnectMs, Tick: o.TickMs, LateFailPrice: o.Prices.LateFail,
-		CrossZonePrice: o.Prices.CrossZone,
+		CrossZonePrice: o.Prices.CrossZone, ProbePrice: o.Prices.Probe, PeerPrice: o.Prices.Peer, Peers: o.Limits.Peers,
 	}
 	for _, c := range o.Classes {
 		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group], Window: c.WindowMs,
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -13,8 +13,8 @@
 
 // node is one instance and how its load reports are read; nothing in it is shared.
 type node struct {
-	logic  *logic.Logic
-	loadAt int
+	logic *logic.Logic
+	at    Places
 }
 
 // Host runs many instances over one pair of streams.
@@ -91,7 +91,7 @@
 	if e.What == "announce" {
 		lists = map[int][]logic.ServerEntry{e.Ref: Entries(h.lists[e.Ref])}
 	}
-	event := Translate(e, lists, n.loadAt)
+	event := Translate(e, lists, n.at)
 	if event == nil {
 		return nil
 	}
@@ -113,6 +113,6 @@
 		fmt.Fprintf(h.errs, "instance %d: %v\n", id, err)
 		return []any{InternalError(err.Error())}
 	}
-	h.nodes[id] = &node{logic: l, loadAt: set.LoadAt}
+	h.nodes[id] = &node{logic: l, at: Places{set.LoadAt, set.WaitingAt}}
 	return nil
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -49,6 +49,8 @@
 	N        int       `json:"n"`
 	Feedback []float64 `json:"feedback"`
 	Ctx      string    `json:"ctx"`
+	From     int       `json:"from"`
+	Content  []byte    `json:"content"`
 }
 
 // Name is a text that may also come as a number where there is none (a tenant of 0).
@@ -136,12 +138,9 @@
 }
 
 // Translate turns a wire event into logic's, with the lists by number; nil for one to be skipped.
-// The load report's place of the requests in flight is given by loadAt (-1: none).
-func Translate(e *Event, lists map[int][]logic.ServerEntry, loadAt int) logic.Event {
-	load := logic.Load{}
-	if loadAt >= 0 && loadAt < len(e.Feedback) {
-		load = logic.Load{Valid: true, InFlight: e.Feedback[loadAt]}
-	}
+// At tells the places of a load report's figures.
+func Translate(e *Event, lists map[int][]logic.ServerEntry, at Places) logic.Event {
+	load := at.load(e.Feedback)
 	switch e.What {
 	case "announce":
 		form, ok := forms[e.Form]
@@ -164,12 +163,27 @@
 			Result: result(e.RC), Elapsed: e.RTT, Closed: e.NoMore, Load: load}
 	case "sampled":
 		return logic.ProbeEnd{Server: logic.ServerID(e.Backend), Result: result(e.RC), Elapsed: e.RTT, Load: load}
+	case "peer_data":
+		return logic.Told{From: e.From, Body: e.Content}
 	case "dropped":
 		return logic.Dropped{ID: logic.RequestID(e.Job)}
 	}
 	return nil
 }
 
+// Places are where a load report holds what the module reads; -1 where it does not.
+type Places struct{ InFlight, Waiting int }
+
+func (p Places) load(figures []float64) (l logic.Load) {
+	if p.InFlight >= 0 && p.InFlight < len(figures) {
+		l = logic.Load{Valid: true, InFlight: figures[p.InFlight]}
+		if p.Waiting >= 0 && p.Waiting < len(figures) {
+			l.Queued, l.Waiting = true, figures[p.Waiting]
+		}
+	}
+	return l
+}
+
 type callOut struct {
 	What    string  `json:"what"`
 	Job     uint64  `json:"job"`
@@ -200,6 +214,12 @@
 	Backend string `json:"backend"`
 }
 
+type tell struct {
+	What    string `json:"what"`
+	To      *int   `json:"recipient"`
+	Content []byte `json:"content"`
+}
+
 type watch struct {
 	What string `json:"what"`
 	On   bool   `json:"on"`
@@ -227,6 +247,8 @@
 		return backendAction{"health_check", string(a.Server)}
 	case logic.Watch:
 		return watch{"stream_changes", true}
+	case logic.Tell:
+		return tell{"tell", nil, a.Body}
 	case logic.Log:
 		return reason{"record", a.Text}
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -53,7 +53,7 @@
 }
 
 // Goal weighs the parts of the service that the operator counts.
-type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant, Tail float64 }
+type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant, Tail, Nines float64 }
 
 // Settings are what a node is told once, at its start.
 type Settings struct {
@@ -68,6 +68,8 @@
 	Sized       bool    // the list's weights compare the servers' capacities
 	MarksRetry  bool    // clients mark their retries
 	Reports     bool    // answers or probe results carry load reports with requests in flight
+	ProbedOnly  bool    // of these, probe results alone
+	Peers       bool    // nodes may send one another messages
 
 	DrainGrace   Millis
 	ColdFrom     float64
@@ -85,7 +87,9 @@
 	ConnectTimeout Millis
 	Tick           Millis
 	LateFailPrice  float64 // price of worth that ends unserved after its aim
-	CrossZonePrice float64
+	CrossZonePrice float64 // price of each first try crossing zones once, as a share of all worth; those below alike
+	ProbePrice     float64 // one probe a first try
+	PeerPrice      float64 // one full message received a first try
 }
 
 // ServerState is what the list says of a server's process.
@@ -112,6 +116,8 @@
 type Load struct {
 	Valid    bool
 	InFlight float64
+	Queued   bool    // Waiting is known
+	Waiting  float64 // of those in flight, the ones not yet being worked on
 }
 
 // ListForm says how a server list is to be read.
@@ -190,7 +196,14 @@
 	Entries []ServerEntry
 }
 
+// Told is a message from another node.
+type Told struct {
+	From int
+	Body []byte
+}
+
 func (Arrival) event()    {}
+func (Told) event()       {}
 func (AttemptEnd) event() {}
 func (FirstByte) event()  {}
 func (Dropped) event()    {}
@@ -235,6 +248,12 @@
 // Watch subscribes to the server list.
 type Watch struct{}
 
+// Tell sends every other node a message of at most MessageMost bytes; it may be lost.
+type Tell struct{ Body []byte }
+
+// MessageMost is the most bytes that a message between nodes may have.
+const MessageMost = 256
+
 // Log is a line for whoever is on call.
 type Log struct{ Text string }
 
@@ -245,4 +264,5 @@
 func (SetTimer) action() {}
 func (Probe) action()    {}
 func (Watch) action()    {}
+func (Tell) action()     {}
 func (Log) action()      {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,22 +37,35 @@
 	staleAfter  = 2000.0       // some service times without news make evidence stale
 	staleDecay  = 4000.0       // a shunned server's unit time returns to the fleet's over some seconds
 
-	redrawFactor = 1.5  // a draw is repeated when its expected time exceeds the best by so much
-	fitShare     = 0.4  // expected share of the time left that a first send may use; the rest is variance
-	heldShare    = 0.7  // once held a request may use more of what is left: else each newcomer would pass it
-	herdFloor    = 0.6  // none is believed much faster than typical for its size: all nodes would run there
-	idle         = 0.5  // a server with fewer requests in hand than this is taken to be idle
-	idleShare    = 0.7  // and a server with nothing in hand: its time varies less, and sparing it gains nothing
-	probeWidth   = 6    // servers asked for their load before a send: one in a busy fleet is likely idle
-	probeWait    = 4.0  // several round trips in one site, and still little of any aim
-	crowdGain    = 0.05 // some twenty reports make the fleet's mean load
-	askAgain     = 0.25 // of a unit time: by then a few of the busy servers have finished a request
-	reportFresh  = 8.0  // a report younger than this needs no probe
-
-	lostAfter    = 3.0     // times the expected: out for longer and not in the report is not on its way
-	spareRisk    = 2.0     // times the idle share of the fleet: half idle, and a request may take all its time
-	nearLeast    = 2       // a choice, and as few others as can be share what this node then knows well
-	nearShared   = 4       // nodes at least that share a server, so that losing one or two changes little
+	redrawFactor = 1.5   // a draw is repeated when its expected time exceeds the best by so much
+	fitShare     = 0.4   // expected share of the time left that a first send may use; the rest is variance
+	heldShare    = 0.7   // once held a request may use more of what is left: else each newcomer would pass it
+	herdFloor    = 0.6   // none is believed much faster than typical for its size: all nodes would run there
+	idle         = 0.5   // a server with fewer requests in hand than this is taken to be idle
+	idleShare    = 0.7   // and a server with nothing in hand: its time varies less, and sparing it gains nothing
+	probeWidth   = 6     // servers asked for their load before a send: one in a busy fleet is likely idle
+	probeWait    = 4.0   // several round trips in one site, and still little of any aim
+	probeSpend   = 0.012 // of all worth: what probes may cost, since more of them earn less and less
+	widthGain    = 0.05  // some twenty reports of queues make the width
+	probeEase    = 0.05  // servers that turn probes away are asked less often by so much, and slowly more again
+	crowdGain    = 0.05  // some twenty reports make the fleet's mean load
+	askAgain     = 0.25  // of a unit time: by then a few of the busy servers have finished a request
+	reportFresh  = 8.0   // a report younger than this needs no probe
+
+	lostAfter  = 3.0  // times the expected: out for longer and not in the report is not on its way
+	spareRisk  = 2.0  // times the idle share of the fleet: half idle, and a request may take all its time
+	nearLeast  = 2    // a choice, and as few others as can be share what this node then knows well
+	nearShared = 4    // nodes at least that share a server, so that losing one or two changes little
+	lagGain    = 0.05 // some twenty answers make the reports' usual lag
+
+	tellVersion = 1
+	tellEvery   = 10.0   // messages are under way as long
+	tellSpend   = 0.006  // of all worth: what messages may cost, each reader counted
+	tellBurst   = 50.0   // arrivals: a message to a hundred nodes is paid for by some ten
+	tellMost    = 60     // servers in a message
+	toldOld     = 3000.0 // a node that is not heard for so long is gone or cut off
+	silentStep  = 20.0   // unit of silence in messages, a byte: up to 5 s
+
 	sweepEvery   = 10.0    // how often held requests are looked at, while there are any
 	missLimit    = 4       // after so many without a place the servers are full: looking on only costs CPU
 	feelerShare  = 0.1     // of capacity, for requests that only find out whether a slowdown is over
@@ -76,11 +89,13 @@
 	}
 	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
-		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait}
+		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
+		said: map[int][]*server{}, heardFrom: map[int]Millis{}, width: 1, ease: 1, probes: tokens{left: probeWidth}}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
 		l.unit = min(l.unit, c.Aim/4) // until measured: four requests make an aim
+		l.meanWorth += c.Worth / float64(len(set.Classes))
 	}
 	l.guess = l.unit
 	for _, t := range set.Tenants {
@@ -110,7 +125,10 @@
 		l.timer(e.Token)
 	case ServerList:
 		l.serverList(e)
+	case Told:
+		l.hear(e)
 	}
+	l.tell()
 	return l.out
 }
 
@@ -180,6 +198,7 @@
 		}
 	}
 	l.forgetGone()
+	l.nameServers()
 	l.chooseNear()
 	l.runScores()
 	l.dispatch()
@@ -314,7 +333,7 @@
 // feltLatency is the smoothed latency, raised at once by attempts that stay out longer: silence counts
 // before the outcome arrives. Evidence that nothing renews fades toward the typical.
 func (l *Logic) feltLatency(s *server) Millis {
-	return max(1e-3, l.fade(s, s.latency), l.overdue(s, false))
+	return max(1e-3, l.fade(s, s.latency), l.overdue(s, false), l.hushed(s))
 }
 
 // feltUnit is the time a server takes for each request in its hands.
@@ -323,7 +342,7 @@
 	if !s.seen {
 		unit = l.typicalUnit(s) // not the guess of its first moment
 	}
-	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true))
+	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true), l.hushed(s)/max(1, l.turns(l.occupancy(s), 1)))
 }
 
 func (l *Logic) fade(s *server, v Millis) Millis {
@@ -345,7 +364,7 @@
 	}
 	silent := l.now - max(a.sentAt, s.outcomeAt)
 	if each {
-		silent /= max(1, a.occupied-1+r.cost)
+		silent /= a.turns
 	}
 	return silent
 }
@@ -371,7 +390,7 @@
 		gain = 1 // the first outcome replaces the guess
 	}
 	s.latency += gain * (felt - s.latency)
-	unit := elapsed / (max(1, a.occupied-1+r.cost))
+	unit := elapsed / a.turns
 	if good || (result == TimedOut || result == Cancelled) && unit > s.unit && !s.passed(a) {
 		s.unit += gain * (unit - s.unit)
 	}
@@ -488,6 +507,9 @@
 		return
 	}
 	l.findLost(s, load)
+	if load.Queued && load.Waiting >= 1 { // all that it works on at once, for once
+		l.width += widthGain * (max(1, load.InFlight-load.Waiting) - l.width)
+	}
 	s.others = max(0, load.InFlight-float64(s.inflight-s.lost))
 	s.othersAvg = l.usualOthers(s) + 0.2*(s.others-l.usualOthers(s))
 	s.reportAt = l.now
@@ -509,7 +531,10 @@
 	for _, r := range slices.Clone(s.open) {
 		a := r.at(s)
 		out, known := l.now-a.sentAt, a.lost
-		a.lost = missing >= 1 && out > reportFresh && (a.sentAt < s.answeredTo || out > lostAfter*a.expected)
+		if missing >= 1 && a.missed == 0 {
+			a.missed = out
+		}
+		a.lost = missing >= 1 && out > reportFresh+2*l.lag && (a.sentAt < s.answeredTo || out > lostAfter*a.expected)
 		if !a.lost {
 			continue
 		}
@@ -539,17 +564,28 @@
 	}
 	usual := l.usualOthers(s)
 	usual += math.Sqrt(usual) // not freshly known: one standard deviation more than the mean
+	if l.hearing() {
+		trust := math.Exp(-l.hearGap / (4 * max(1, l.unit))) // half a gap old in the mean
+		usual += trust * (s.toldLoad() - usual)
+	}
 	if s.reportAt == 0 {
 		return own + usual
 	}
-	age := l.now - s.reportAt
+	age := l.now - s.reportAt + l.lag
 	fresh := math.Exp(-age / (2 * max(1, l.unit)))
 	return own + usual + (s.others-usual)*fresh
 }
 
+// turns is how many requests' times pass at a server that holds so many until one more is done: it works on several
+// at once, as the reports of queues show, and only what is beyond them waits.
+func (l *Logic) turns(ahead, cost float64) float64 {
+	width := math.Round(l.width)
+	return cost + max(0, ahead+1-width)/width
+}
+
 // expected is the time a request sent now would take.
 func (l *Logic) expected(s *server, r *request) Millis {
-	return l.feltUnit(s) * (l.occupancy(s) + r.cost)
+	return l.feltUnit(s) * l.turns(l.occupancy(s), r.cost)
 }
 
 func (l *Logic) probeEnd(e ProbeEnd) {
@@ -558,16 +594,99 @@
 		return
 	}
 	s.probeOut = false
+	l.ease = min(1, l.ease+probeEase/10)
 	switch e.Result {
 	case OK:
+		l.probeTook += widthGain * (e.Elapsed - l.probeTook)
 		l.report(s, e.Load)
+	case Overloaded:
+		l.ease *= 1 - probeEase
 	case Errored, TimedOut, Unreachable, Broken: // what does not even answer a probe serves nothing
-		s.note(l.now, false)
-		l.judge(s, e.Result, l.now-e.Elapsed)
+		if e.Result == TimedOut {
+			l.ease *= 1 - probeEase
+			l.probeTook += widthGain * (e.Elapsed - l.probeTook)
+		}
+		if e.Result != TimedOut || e.Elapsed > lostAfter*l.probeTook || !l.set.ProbedOnly { // some wait their turn like a request
+			s.note(l.now, false)
+			l.judge(s, e.Result, l.now-e.Elapsed)
+		}
 	}
 	l.dispatch()
 }
 
+// ---- what nodes tell one another
+
+// tell lets the other nodes know what this one has at each server and for how long it has not been answered
+// there, as often as may be paid for.
+func (l *Logic) tell() {
+	if !l.set.Peers || l.set.Nodes < 2 || l.now < l.toldAt+tellEvery || !l.changed && l.now < l.toldAt+toldOld/3 {
+		return
+	}
+	price := l.set.PeerPrice * float64(l.set.Nodes-1) / MessageMost
+	if l.tellings.left < price*float64(1+4*min(l.outstanding, tellMost)) {
+		return
+	}
+	body := []byte{tellVersion}
+	for _, s := range l.list {
+		if s.inflight == 0 || len(body) > MessageMost-4 {
+			continue
+		}
+		silent := 0.0
+		if _, a := s.oldest(); a != nil {
+			silent = l.now - max(a.sentAt, s.outcomeAt)
+		}
+		body = append(body, byte(s.name>>8), byte(s.name), byte(min(255, s.inflight)), byte(min(255, silent/silentStep)))
+	}
+	l.tellings.left -= price * float64(len(body))
+	l.toldAt, l.changed = l.now, false
+	l.do(Tell{body})
+}
+
+// hear takes in what another node tells: each message replaces its last. One that cannot be read is dropped whole,
+// and servers that this node's own list does not name are passed over.
+func (l *Logic) hear(e Told) {
+	if !l.set.Peers || len(e.Body) == 0 || e.Body[0] != tellVersion || len(e.Body)%4 != 1 || len(e.Body) > MessageMost {
+		return
+	}
+	l.heardAt = l.now
+	if at, ok := l.heardFrom[e.From]; ok {
+		l.hearGap += lagGain * (min(toldOld, l.now-at) - l.hearGap)
+	}
+	l.heardFrom[e.From] = l.now
+	for _, s := range l.said[e.From] {
+		s.told = slices.DeleteFunc(s.told, func(t told) bool { return t.from == e.From })
+	}
+	said := l.said[e.From][:0]
+	for b := e.Body[1:]; len(b) > 0; b = b[4:] {
+		if s := l.named[uint16(b[0])<<8|uint16(b[1])]; s != nil {
+			s.told = append(s.told, told{e.From, float64(b[2]), l.now, l.now - float64(b[3])*silentStep})
+			said = append(said, s)
+		}
+	}
+	l.said[e.From] = said
+}
+
+// hearing says that the other nodes can be heard.
+func (l *Logic) hearing() bool { return l.heardAt > 0 && l.now < l.heardAt+toldOld }
+
+// hushed is for how long a server has kept silent to other nodes. One node's word may be one heavy request, so the
+// second longest counts, and only where this node was not answered since.
+func (l *Logic) hushed(s *server) Millis {
+	first, second := l.now, l.now
+	for _, t := range s.told {
+		if since := t.since; l.now < t.at+toldOld {
+			if since < first {
+				first, since = since, first
+			}
+			second = min(second, since)
+		}
+	}
+	if s.answeredTo >= second {
+		return 0
+	}
+	return l.now - second
+}
+
 // ---- requests
 
 func (l *Logic) arrive(e Arrival) {
@@ -628,19 +747,22 @@
 	asked, open := 0, l.candidates(r)
 	for i := 0; i < probeWidth; i++ {
 		s := l.draw(open)
-		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh {
+		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh || !l.probes.take() {
 			continue
 		}
 		s.probeOut = true
 		l.do(Probe{s.ID})
 		asked++
 	}
-	if asked > 0 {
-		r.probing = l.now + probeWait
+	if asked > 0 && l.probeTook <= l.probeWait() { // else their answers come too late for it
+		r.probing = l.now + l.probeWait()
 		l.do(SetTimer{"probes", r.probing})
 	}
 }
 
+// probeWait lets answers come in that a node looks at once a tick.
+func (l *Logic) probeWait() Millis { return max(probeWait, 2*l.set.Tick) }
+
 func (l *Logic) hold(r *request) {
 	r.held, l.heldQueue = true, append(l.heldQueue, r)
 }
@@ -703,7 +825,7 @@
 	if n == 0 {
 		return true
 	}
-	wait := ahead * l.unit * float64(l.set.Nodes) / float64(n)
+	wait := ahead * l.unit * float64(l.set.Nodes) / float64(n) / math.Round(l.width)
 	return wait+best > l.idleRisk()*l.timeLeft(r)
 }
 
@@ -737,7 +859,7 @@
 		if !l.allowed(r, s) || !l.coldRoom(s, r.cost) || r.tried(s) {
 			continue
 		}
-		trial := l.now >= s.trialAt && s.inflight == 0 && r.class.Effect == Safe && len(r.attempts) == 0
+		trial := l.now >= s.trialAt && s.inflight == 0 && r.class.Effect != Unsafe && len(r.attempts) == 0
 		if all || !s.excluded || trial {
 			open = append(open, s)
 		}
@@ -773,16 +895,22 @@
 // pick draws a server and redraws while the drawn one is crowded: when a request there would take much
 // longer than at the best. Nil when none would answer in time.
 func (l *Logic) pick(r *request) *server {
-	limit := min(fitShare*(min(r.aimAt, r.expires)-r.arrived), heldShare*l.timeLeft(r))
+	limit := min(l.room(r.class, fitShare)*(min(r.aimAt, r.expires)-r.arrived),
+		l.room(r.class, heldShare)*l.timeLeft(r))
 	if r.late {
 		limit = heldShare * l.timeLeft(r)
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
+	crossing := l.set.CrossZonePrice * r.class.Aim * l.meanWorth / r.class.Worth
 	for _, s := range open {
 		s.expect = l.expected(s, r)
 		if s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
-			if s.price = s.expect; l.classFault(s, r.class) {
+			s.price = s.expect
+			if s.Zone != l.set.Zone {
+				s.price += crossing
+			}
+			if l.classFault(s, r.class) {
 				s.price += l.classBad(s, r.class) * r.class.Aim
 			}
 			best = min(best, s.price)
@@ -803,6 +931,14 @@
 	return nil
 }
 
+// room widens a share of the time left where a late answer still earns something: less is lost by a wrong guess.
+func (l *Logic) room(c *classState, share float64) float64 {
+	if l.set.Goal.Tail > 0 { // but there more is lost by it
+		return share
+	}
+	return share + (1-share)*c.LateShare
+}
+
 // spendFeeler rations requests sent where nothing fits: never refuse all on old evidence. One always out from
 // each node would hold a crowded fleet down for good where nodes outnumber servers, so the nodes' sum is kept
 // to a share of the servers' capacity, in a random phase.
@@ -814,7 +950,9 @@
 
 func (l *Logic) send(r *request, s *server) {
 	s.budget.left -= r.cost
-	a := attempt{server: s, sentAt: l.now, occupied: l.occupancy(s) + 1, expected: l.expected(s, r), open: true}
+	l.changed = true
+	a := attempt{server: s, sentAt: l.now, turns: max(1, l.turns(l.occupancy(s), r.cost)), expected: l.expected(s, r),
+		open: true}
 	r.attempts = append(r.attempts, a)
 	r.held, r.open = false, r.open+1
 	s.inflight++
@@ -831,7 +969,7 @@
 	}
 	a := &r.attempts[e.Attempt]
 	s := a.server
-	a.open = false
+	a.open, l.changed = false, true
 	r.open--
 	l.outstanding--
 	s.inflight--
@@ -840,6 +978,9 @@
 	}
 	s.drop(r)
 	l.report(s, e.Load)
+	if e.Result == OK { // a report that missed it was older than it
+		l.lag += lagGain * (a.missed - l.lag)
+	}
 	l.observe(s, r, a, e.Result, e.Elapsed)
 	if e.Result != Overloaded && e.Result != Unreachable && e.Result != Void {
 		r.ran(a)
@@ -888,7 +1029,7 @@
 	if !l.set.RetryAfter || len(l.list) == 0 {
 		return 0
 	}
-	wait := l.unit * float64((len(l.heldQueue)+1)*l.set.Nodes) / float64(len(l.list))
+	wait := l.unit * float64((len(l.heldQueue)+1)*l.set.Nodes) / float64(len(l.list)) / math.Round(l.width)
 	return max(0, min(l.set.MaxRetryAfter, wait, comeBack*l.timeLeft(r)))
 }
 
@@ -908,6 +1049,12 @@
 		return
 	}
 	l.retries.refill(l.retries.at+1, retryShare, retryBurst)
+	l.tellings.refill(l.tellings.at+1, tellSpend, tellBurst*tellSpend)
+	if price := l.set.ProbePrice; price > 0 {
+		l.probes.left = min(3*probeWidth, l.probes.left+l.ease*probeSpend/price)
+	} else {
+		l.probes.left = 3 * probeWidth
+	}
 	if t := r.tenant; t != nil && t.Quota > 0 {
 		quota := t.Quota * l.quotaScale()
 		t.quota.refill(l.now, quota/1000, quota)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -362,7 +362,7 @@
 	r := &request{class: b.l.classes["bill"], cost: 1}
 	for i := 0; i < 6; i++ {
 		b.now += 2000
-		a := &attempt{server: s, sentAt: b.now - 2000, occupied: 1, expected: 20}
+		a := &attempt{server: s, sentAt: b.now - 2000, turns: 1, expected: 20}
 		b.l.observe(s, r, a, TimedOut, 2000)
 		b.serve("read", 20, allOK)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -38,17 +39,32 @@
 	pool        []*server // scratch space of candidates
 	shared      bool
 	feelers     tokens  // requests sent where nothing fits
-	crowd       float64 // requests of other nodes at a server, mean of the fleet by recent reports
+	width       float64 // requests that a server works on at once, typically
+	probes      tokens  // probes that may be sent
+	ease        float64 // share of these that the servers bear
+	probeTook   Millis  // usual time of a probe
+	meanWorth   float64 // over the classes
+	lag         Millis  // how old reports are when they come, as far as it shows
+	changed     bool    // since the other nodes were told
+	toldAt      Millis
+	heardAt     Millis
+	heardFrom   map[int]Millis
+	hearGap     Millis             // usual time between two messages of a node
+	tellings    tokens             // worth that messages may cost
+	named       map[uint16]*server // by the name used in messages; nil where two share one
+	said        map[int][]*server  // of which servers a node last spoke
+	crowd       float64            // requests of other nodes at a server, mean of the fleet by recent reports
 }
 
 // attempt is one send of a request.
 type attempt struct {
 	server   *server
 	sentAt   Millis
-	occupied float64 // requests expected at the server, this one included, when it was sent
+	turns    float64 // requests' times until it should be done, as expected when it was sent
 	expected Millis
 	open     bool
-	lost     bool // not in the server's hands, by its latest report
+	lost     bool   // not in the server's hands, by its latest report
+	missed   Millis // how long it had been out when a report did not hold it
 }
 
 // request is one request in this node's hands.
@@ -148,6 +164,40 @@
 	reportAt      Millis
 	probeOut      bool
 	budget        tokens // in work, while it is cold
+	name          uint16 // in messages
+	told          []told
+}
+
+// told is what another node last said of a server.
+type told struct {
+	from  int
+	count float64 // requests that it has there
+	at    Millis
+	since Millis // it has not been answered since
+}
+
+// toldLoad is what the other nodes have at a server, by their last messages.
+func (s *server) toldLoad() float64 {
+	sum := 0.0
+	for _, t := range s.told {
+		sum += t.count
+	}
+	return sum
+}
+
+// nameServers gives each server a short name, the same at every node.
+func (l *Logic) nameServers() {
+	l.named = map[uint16]*server{}
+	for _, s := range l.known {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(s.ID))
+		s.name = uint16(h.Sum32() ^ h.Sum32()>>16)
+		if _, taken := l.named[s.name]; taken {
+			l.named[s.name] = nil
+			continue
+		}
+		l.named[s.name] = s
+	}
 }
 
 func (s *server) window(now Millis) (ok, fail int) {
