--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,7 +30,10 @@
 	} `json:"client_habits"`
 	CountedBy string `json:"counted_by"`
 	Discovery string `json:"discovery"`
-	FleetSize *int   `json:"fleet_size"`
+	Family    struct {
+		WarmKeys bool `json:"warm_keys"`
+	} `json:"family_info"`
+	FleetSize *int `json:"fleet_size"`
 	Goal      struct {
 		Whole       float64  `json:"whole"`
 		WorstClass  float64  `json:"worst_class"`
@@ -158,6 +161,7 @@
 		SecondCopies: o.Limits.SecondCopies, RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfter,
 		ConnectTimeout: o.Limits.ConnectMs, Tick: o.TickMs, LateFailPrice: o.Prices.LateFail,
 		CrossZonePrice: o.Prices.CrossZone, ProbePrice: o.Prices.Probe, PeerPrice: o.Prices.Peer, Peers: o.Limits.Peers,
+		WarmKeys: o.Family.WarmKeys,
 	}
 	for _, c := range o.Classes {
 		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group], Window: c.WindowMs,
--- a/logic/api.go
+++ b/logic/api.go
@@ -70,6 +70,7 @@
 	Reports     bool    // answers or probe results carry load reports with requests in flight
 	ProbedOnly  bool    // of these, probe results alone
 	Peers       bool    // nodes may send one another messages
+	WarmKeys    bool    // a server that met a request's key lately does less work for it
 
 	DrainGrace   Millis
 	ColdFrom     float64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,9 +49,12 @@
 	widthGain    = 0.05  // some twenty reports of queues make the width
 	probeEase    = 0.05  // servers that turn probes away are asked less often by so much, and slowly more again
 	crowdGain    = 0.05  // some twenty reports make the fleet's mean load
+	crowdMemory  = 4.0   // unit times: in some of them a server's load turns over
 	askAgain     = 0.25  // of a unit time: by then a few of the busy servers have finished a request
 	reportFresh  = 8.0   // a report younger than this needs no probe
 
+	packed     = 3.0  // times what it works on at once: a server that holds more gets slower for all
+	warmGain   = 0.5  // share of the work taken to be saved where a key was met lately
 	lostAfter  = 3.0  // times the expected: out for longer and not in the report is not on its way
 	spareRisk  = 2.0  // times the idle share of the fleet: half idle, and a request may take all its time
 	nearLeast  = 2    // a choice, and as few others as can be share what this node then knows well
@@ -216,6 +219,7 @@
 	ring := interleave(l.list)
 	from := int(math.Mod(float64(l.set.Node)*math.Phi, 1) * float64(len(ring)))
 	l.near = l.near[:0]
+	l.nearCount++
 	for i, good := 0, 0; i < len(ring) && good < want; i++ {
 		s := ring[(from+i)%len(ring)]
 		if l.near = append(l.near, s); !s.excluded {
@@ -336,13 +340,34 @@
 	return max(1e-3, l.fade(s, s.latency), l.overdue(s, false), l.hushed(s))
 }
 
-// feltUnit is the time a server takes for each request in its hands.
+// look judges a server at most once at one time, unless something happens there: many requests ask.
+func (l *Logic) look(s *server) {
+	if s.lookedAt != l.now {
+		s.lookedAt = l.now
+		s.hands = l.countHands(s)
+		s.felt = l.feelUnit(s)
+	}
+}
+
+// occupancy is the requests that a server is taken to have in hand.
+func (l *Logic) occupancy(s *server) float64 {
+	l.look(s)
+	return s.hands
+}
+
+// feltUnit is the time that a server is taken to need for each request in its hands.
 func (l *Logic) feltUnit(s *server) Millis {
+	l.look(s)
+	return s.felt
+}
+
+// feelUnit is the time a server takes for each request in its hands.
+func (l *Logic) feelUnit(s *server) Millis {
 	unit := l.fade(s, s.unit)
 	if !s.seen {
 		unit = l.typicalUnit(s) // not the guess of its first moment
 	}
-	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true), l.hushed(s)/max(1, l.turns(l.occupancy(s), 1)))
+	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true), l.hushed(s)/max(1, l.turns(s.hands, 1)))
 }
 
 func (l *Logic) fade(s *server, v Millis) Millis {
@@ -405,6 +430,9 @@
 // compared: a server may fail or lose one class and serve the others well.
 func (l *Logic) classBad(s *server, c *classState) float64 {
 	h := s.class(c)
+	if h.bad == 0 {
+		return 0
+	}
 	return h.bad * math.Exp(-(l.now-h.at)/classMemory)
 }
 
@@ -507,6 +535,7 @@
 		return
 	}
 	l.findLost(s, load)
+	s.lookedAt = -1
 	if load.Queued && load.Waiting >= 1 { // all that it works on at once, for once
 		l.width += widthGain * (max(1, load.InFlight-load.Waiting) - l.width)
 	}
@@ -552,12 +581,12 @@
 	if s.reportAt == 0 {
 		return l.crowd
 	}
-	return l.crowd + (s.othersAvg-l.crowd)*math.Exp(-(l.now-s.reportAt)/staleDecay)
+	return l.crowd + (s.othersAvg-l.crowd)*math.Exp(-(l.now-s.reportAt)/(crowdMemory*l.unit))
 }
 
-// occupancy estimates the requests a server has in hand. Reports age toward their mean; without any the
+// countHands estimates the requests a server has in hand. Reports age toward their mean; without any the
 // other nodes are taken to send as much as this one.
-func (l *Logic) occupancy(s *server) float64 {
+func (l *Logic) countHands(s *server) float64 {
 	own := float64(s.inflight - s.lost)
 	if !l.set.Reports {
 		return own
@@ -619,7 +648,7 @@
 // tell lets the other nodes know what this one has at each server and for how long it has not been answered
 // there, as often as may be paid for.
 func (l *Logic) tell() {
-	if !l.set.Peers || l.set.Nodes < 2 || l.now < l.toldAt+tellEvery || !l.changed && l.now < l.toldAt+toldOld/3 {
+	if !l.set.Peers || l.set.Goal.Tail > 0 || l.set.Nodes < 2 || l.now < l.toldAt+tellEvery || !l.changed && l.now < l.toldAt+toldOld/3 {
 		return
 	}
 	price := l.set.PeerPrice * float64(l.set.Nodes-1) / MessageMost
@@ -699,6 +728,9 @@
 		return
 	}
 	r := &request{id: e.ID, class: c, tenant: l.tenants[e.Tenant], arrived: l.now, expires: e.Expires, cost: 1}
+	if l.set.WarmKeys && e.Key != "" {
+		r.key = hash(e.Key)
+	}
 	if e.Hint > 0 {
 		r.cost = l.hintCost(e.Hint)
 	}
@@ -745,8 +777,14 @@
 		return
 	}
 	asked, open := 0, l.candidates(r)
+	first, second := l.homes(r)
 	for i := 0; i < probeWidth; i++ {
 		s := l.draw(open)
+		if i == 0 && first != nil {
+			s = first
+		} else if i == 1 && second != nil {
+			s = second
+		}
 		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh || !l.probes.take() {
 			continue
 		}
@@ -816,7 +854,13 @@
 // hopeless says that a held request cannot make its aim: refusing early spares servers and clients.
 func (l *Logic) hopeless(r *request, ahead float64) bool {
 	best, n := math.Inf(1), 0
+	if !r.mayRun && l.quickestAt == l.now { // the same for all that are free to go anywhere
+		best, n = l.quickest*r.cost, len(l.list)
+	}
 	for _, s := range l.list {
+		if n == len(l.list) {
+			break
+		}
 		if l.allowed(r, s) && !(r.mayRun && (s.excluded || r.tried(s))) { // its group may be lost as a whole
 			best = min(best, l.feltUnit(s)*r.cost)
 			n++
@@ -825,6 +869,9 @@
 	if n == 0 {
 		return true
 	}
+	if !r.mayRun {
+		l.quickest, l.quickestAt = best/r.cost, l.now
+	}
 	wait := ahead * l.unit * float64(l.set.Nodes) / float64(n) / math.Round(l.width)
 	return wait+best > l.idleRisk()*l.timeLeft(r)
 }
@@ -883,6 +930,28 @@
 	return nil
 }
 
+// homes are the two servers that all nodes prefer for a request's key, where a server that met it lately does less
+// work for it: the two highest by a hash of both, of those not excluded.
+func (l *Logic) homes(r *request) (first, second *server) {
+	if r.key == 0 || r.homesAt == l.nearCount {
+		return r.first, r.second
+	}
+	var high, next uint64
+	for _, s := range l.near {
+		h := (r.key ^ s.hash) * 0x9e3779b97f4a7c15
+		if h ^= h >> 32; s.excluded || h <= next {
+			continue
+		}
+		if h > high {
+			first, second, high, next = s, first, h, high
+		} else {
+			second, next = s, h
+		}
+	}
+	r.first, r.second, r.homesAt = first, second, l.nearCount
+	return first, second
+}
+
 // idleRisk is the expected share of the time left at which a server with nothing in hand may still be tried:
 // heavy requests too while much of the fleet is idle, since hints are rough and nothing else is held up.
 func (l *Logic) idleRisk() float64 {
@@ -902,11 +971,17 @@
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
+	first, second := l.homes(r)
 	crossing := l.set.CrossZonePrice * r.class.Aim * l.meanWorth / r.class.Worth
 	for _, s := range open {
-		s.expect = l.expected(s, r)
-		if s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
+		cost := r.cost
+		if s == first || s == second {
+			cost *= 1 - warmGain
+		}
+		s.expect = l.feltUnit(s) * l.turns(l.occupancy(s), cost)
+		if l.occupancy(s) < packed*math.Round(l.width) && s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
 			s.price = s.expect
+
 			if s.Zone != l.set.Zone {
 				s.price += crossing
 			}
@@ -922,6 +997,11 @@
 	}
 	for len(fit) > 0 {
 		s := l.draw(fit)
+		if slices.Contains(fit, first) {
+			s = first
+		} else if slices.Contains(fit, second) {
+			s = second
+		}
 		if s.price <= best*redrawFactor {
 			return s
 		}
@@ -956,6 +1036,7 @@
 	r.attempts = append(r.attempts, a)
 	r.held, r.open = false, r.open+1
 	s.inflight++
+	s.lookedAt = -1
 	s.open = append(s.open, r)
 	l.outstanding++
 	l.do(Send{ID: r.id, Server: s.ID, StopAt: r.expires})
@@ -973,6 +1054,7 @@
 	r.open--
 	l.outstanding--
 	s.inflight--
+	s.lookedAt = -1
 	if a.lost {
 		s.lost--
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -44,6 +44,9 @@
 	ease        float64 // share of these that the servers bear
 	probeTook   Millis  // usual time of a probe
 	meanWorth   float64 // over the classes
+	nearCount   int     // how often near was chosen
+	quickest    Millis  // the least time that a server takes for a request ...
+	quickestAt  Millis  // ... at this time
 	lag         Millis  // how old reports are when they come, as far as it shows
 	changed     bool    // since the other nodes were told
 	toldAt      Millis
@@ -69,24 +72,27 @@
 
 // request is one request in this node's hands.
 type request struct {
-	id       RequestID
-	class    *classState
-	tenant   *tenantState
-	arrived  Millis
-	expires  Millis
-	aimAt    Millis
-	cost     float64 // work relative to the mean request
-	overQuo  bool
-	late     bool // its aim had passed when it came
-	attempts []attempt
-	open     int
-	done     bool
-	held     bool
-	probing  Millis // waits for probe results until then
-	mayRun   bool   // some attempt may have run
-	anchor   *server
-	boundTo  Millis // keyed: resending is allowed until then
-	value    float64
+	id            RequestID
+	class         *classState
+	tenant        *tenantState
+	arrived       Millis
+	expires       Millis
+	aimAt         Millis
+	cost          float64 // work relative to the mean request
+	overQuo       bool
+	late          bool // its aim had passed when it came
+	attempts      []attempt
+	open          int
+	done          bool
+	held          bool
+	probing       Millis // waits for probe results until then
+	mayRun        bool   // some attempt may have run
+	anchor        *server
+	boundTo       Millis // keyed: resending is allowed until then
+	value         float64
+	key           uint64  // 0: none that matters
+	first, second *server // homes of its key ...
+	homesAt       int     // ... by this choice of near
 }
 
 // share follows what was asked for and what was served in time, forgetting slowly.
@@ -164,7 +170,11 @@
 	reportAt      Millis
 	probeOut      bool
 	budget        tokens // in work, while it is cold
-	name          uint16 // in messages
+	hash          uint64
+	lookedAt      Millis  // when the two below were worked out
+	hands         float64 // requests it is taken to hold
+	felt          Millis  // for each of them
+	name          uint16  // in messages
 	told          []told
 }
 
@@ -185,13 +195,22 @@
 	return sum
 }
 
+// hash is the same at every node.
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
 // nameServers gives each server a short name, the same at every node.
 func (l *Logic) nameServers() {
 	l.named = map[uint16]*server{}
 	for _, s := range l.known {
-		h := fnv.New32a()
-		_, _ = h.Write([]byte(s.ID))
-		s.name = uint16(h.Sum32() ^ h.Sum32()>>16)
+		s.hash = hash(string(s.ID))
+		s.name = uint16(s.hash)
 		if _, taken := l.named[s.name]; taken {
 			l.named[s.name] = nil
 			continue
