--- a/logic/logic.go
+++ b/logic/logic.go
@@ -971,6 +971,7 @@
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
+	most := packed * math.Round(l.width) * l.room(r.class, fitShare) / fitShare
 	first, second := l.homes(r)
 	crossing := l.set.CrossZonePrice * r.class.Aim * l.meanWorth / r.class.Worth
 	for _, s := range open {
@@ -979,7 +980,7 @@
 			cost *= 1 - warmGain
 		}
 		s.expect = l.feltUnit(s) * l.turns(l.occupancy(s), cost)
-		if l.occupancy(s) < packed*math.Round(l.width) && s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
+		if l.occupancy(s) < most && s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
 			s.price = s.expect
 
 			if s.Zone != l.set.Zone {
