--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,9 @@
 	wellShare    = 0.3    // of those left: fewer, and the cause is shared
 
 	latencyGain = 0.2          // smoothing of latency and unit time: about the last five outcomes
+	paceGain    = 0.08         // a dozen answers, from whichever servers
+	paceMost    = 3.0          // one heavy request must not slow the whole fleet down
+	paceRest    = 0.01         // in the long run the servers' own records hold it
 	classWorse  = 0.35         // one failure of a class at a server is a warning; two are believed
 	classGood   = 0.1          // and many successes are needed to forget them
 	classFaulty = 0.3          // reached by one failure, kept by two
@@ -93,7 +96,7 @@
 	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
-		said: map[int][]*server{}, heardFrom: map[int]Millis{}, width: 1, ease: 1, probes: tokens{left: probeWidth}}
+		said: map[int][]*server{}, heardFrom: map[int]Millis{}, width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
@@ -313,7 +316,7 @@
 	best := math.Inf(1)
 	for _, s := range l.list {
 		if s.seen && l.now < s.outcomeAt+staleAfter+staleDecay { // those shunned would hold the typical up
-			u := s.unit * l.ramp(s)
+			u := s.unit * l.pace * l.ramp(s)
 			if l.set.Sized && s.Size > 0 {
 				u *= s.Size
 			}
@@ -363,7 +366,7 @@
 
 // feelUnit is the time a server takes for each request in its hands.
 func (l *Logic) feelUnit(s *server) Millis {
-	unit := l.fade(s, s.unit)
+	unit := l.fade(s, s.unit*l.pace)
 	if !s.seen {
 		unit = l.typicalUnit(s) // not the guess of its first moment
 	}
@@ -416,6 +419,10 @@
 	}
 	s.latency += gain * (felt - s.latency)
 	unit := elapsed / a.turns
+	if good && s.seen { // what slows all down shows in all answers, long before each server's own record
+		l.pace += paceGain*(min(unit/s.unit, paceMost)-l.pace) + paceRest*(1-l.pace)
+	}
+	unit /= l.pace
 	if good || (result == TimedOut || result == Cancelled) && unit > s.unit && !s.passed(a) {
 		s.unit += gain * (unit - s.unit)
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -43,6 +43,7 @@
 	probes      tokens  // probes that may be sent
 	ease        float64 // share of these that the servers bear
 	probeTook   Millis  // usual time of a probe
+	pace        float64 // the fleet's times against the servers' own records
 	meanWorth   float64 // over the classes
 	nearCount   int     // how often near was chosen
 	quickest    Millis  // the least time that a server takes for a request ...
