--- a/logic/logic.go
+++ b/logic/logic.go
@@ -96,7 +96,7 @@
 	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
-		said: map[int][]*server{}, heardFrom: map[int]Millis{}, width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}}
+		said: map[int][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{}, width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
@@ -742,7 +742,13 @@
 		r.cost = l.hintCost(e.Hint)
 	}
 	l.requests[r.id] = r
+	r.subject = subject{e.Key, c}
 	l.setAim(r, e.Retry)
+	if back, ok := l.refused[r.subject]; ok && e.Key != "" && !l.set.MarksRetry && l.now < back.until {
+		delete(l.refused, r.subject)
+		r.aimAt = back.aimAt
+		r.late = r.aimAt <= l.now
+	}
 	l.countArrival(r, e.Retry)
 	if r.late && c.LateShare <= 0 { // worth nothing by now: work on it would make others late as well
 		l.giveUp(r)
@@ -1109,6 +1115,9 @@
 		l.do(Fail{r.id})
 	} else {
 		l.do(Refuse{ID: r.id, RetryAfter: l.retryAfter(r)})
+		if r.subject.key != "" {
+			l.refused[r.subject] = comingBack{r.aimAt, l.now + r.class.Aim}
+		}
 	}
 	l.finish(r)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -44,6 +44,7 @@
 	ease        float64 // share of these that the servers bear
 	probeTook   Millis  // usual time of a probe
 	pace        float64 // the fleet's times against the servers' own records
+	refused     map[subject]comingBack
 	meanWorth   float64 // over the classes
 	nearCount   int     // how often near was chosen
 	quickest    Millis  // the least time that a server takes for a request ...
@@ -91,11 +92,21 @@
 	anchor        *server
 	boundTo       Millis // keyed: resending is allowed until then
 	value         float64
+	subject       subject
 	key           uint64  // 0: none that matters
 	first, second *server // homes of its key ...
 	homesAt       int     // ... by this choice of near
 }
 
+// subject is what a request and its client's retries have in common.
+type subject struct {
+	key   string
+	class *classState
+}
+
+// comingBack is a refused request that may be tried again.
+type comingBack struct{ aimAt, until Millis }
+
 // share follows what was asked for and what was served in time, forgetting slowly.
 type share struct {
 	asked, served float64
