--- a/logic/logic.go
+++ b/logic/logic.go
@@ -977,15 +977,16 @@
 // pick draws a server and redraws while the drawn one is crowded: when a request there would take much
 // longer than at the best. Nil when none would answer in time.
 func (l *Logic) pick(r *request) *server {
+	first, second := l.homes(r)
+	most := packed * math.Round(l.width) * l.room(r.class, fitShare) / fitShare
 	limit := min(l.room(r.class, fitShare)*(min(r.aimAt, r.expires)-r.arrived),
 		l.room(r.class, heldShare)*l.timeLeft(r))
 	if r.late {
 		limit = heldShare * l.timeLeft(r)
+		most = math.Round(l.width) // what is late must make nothing else late
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
-	most := packed * math.Round(l.width) * l.room(r.class, fitShare) / fitShare
-	first, second := l.homes(r)
 	crossing := l.set.CrossZonePrice * r.class.Aim * l.meanWorth / r.class.Worth
 	for _, s := range open {
 		cost := r.cost
