--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,7 @@
 		IdleMs        float64 `json:"conn_idle_ms"`
 		ConnectMs     float64 `json:"connect_timeout_ms"`
 		MaxRetryAfter float64 `json:"max_retry_after_ms"`
+		CPUPerRequest float64 `json:"cpu_us_per_request"`
 		MayCancel     bool    `json:"may_cancel"`
 		Peers         bool    `json:"peers"`
 		Probes        bool    `json:"probes"`
@@ -161,7 +162,7 @@
 		SecondCopies: o.Limits.SecondCopies, RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfter,
 		ConnectTimeout: o.Limits.ConnectMs, Tick: o.TickMs, LateFailPrice: o.Prices.LateFail,
 		CrossZonePrice: o.Prices.CrossZone, ProbePrice: o.Prices.Probe, PeerPrice: o.Prices.Peer, Peers: o.Limits.Peers,
-		WarmKeys: o.Family.WarmKeys,
+		WarmKeys: o.Family.WarmKeys, CPUPerRequest: o.Limits.CPUPerRequest,
 	}
 	for _, c := range o.Classes {
 		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group], Window: c.WindowMs,
--- a/logic/api.go
+++ b/logic/api.go
@@ -91,6 +91,7 @@
 	CrossZonePrice float64 // price of each first try crossing zones once, as a share of all worth; those below alike
 	ProbePrice     float64 // one probe a first try
 	PeerPrice      float64 // one full message received a first try
+	CPUPerRequest  float64 // microseconds that a request and all that comes with it may cost; 0: not limited
 }
 
 // ServerState is what the list says of a server's process.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,13 +64,14 @@
 	nearShared = 4    // nodes at least that share a server, so that losing one or two changes little
 	lagGain    = 0.05 // some twenty answers make the reports' usual lag
 
-	tellVersion = 1
-	tellEvery   = 10.0   // messages are under way as long
-	tellSpend   = 0.006  // of all worth: what messages may cost, each reader counted
-	tellBurst   = 50.0   // arrivals: a message to a hundred nodes is paid for by some ten
-	tellMost    = 60     // servers in a message
-	toldOld     = 3000.0 // a node that is not heard for so long is gone or cut off
-	silentStep  = 20.0   // unit of silence in messages, a byte: up to 5 s
+	tellEvery     = 10.0   // messages are under way as long
+	tellSpend     = 0.006  // of all worth: what messages may cost, each reader counted
+	tellBurst     = 50.0   // arrivals: a message to a hundred nodes is paid for by some ten
+	readCost      = 1.0    // microseconds that a message costs each reader
+	readShare     = 0.3    // of the CPU that a request may cost, for messages read
+	badPrior      = 5.0    // successes taken for granted: one failure is chance
+	outcomesEvery = 2000.0 // a window of ten seconds changes slowly
+	toldOld       = 3000.0 // a node that is not heard for so long is gone or cut off
 
 	sweepEvery   = 10.0    // how often held requests are looked at, while there are any
 	missLimit    = 4       // after so many without a place the servers are full: looking on only costs CPU
@@ -96,7 +97,7 @@
 	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
-		said: map[int][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{}, width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}}
+		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{}, width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
@@ -349,6 +350,7 @@
 		s.lookedAt = l.now
 		s.hands = l.countHands(s)
 		s.felt = l.feelUnit(s)
+		s.bad = l.badShare(s)
 	}
 }
 
@@ -652,75 +654,66 @@
 
 // ---- what nodes tell one another
 
-// tell lets the other nodes know what this one has at each server and for how long it has not been answered
-// there, as often as may be paid for.
+// tell lets the other nodes know what this one has at each server and how its sends there ended, as often as may be
+// paid for. Where reading costs the others more than a request may, loads would be old when they are told again, and
+// only outcomes are.
 func (l *Logic) tell() {
-	if !l.set.Peers || l.set.Goal.Tail > 0 || l.set.Nodes < 2 || l.now < l.toldAt+tellEvery || !l.changed && l.now < l.toldAt+toldOld/3 {
+	if !l.set.Peers || l.set.Nodes < 2 || l.tellings.left <= 0 || l.now < l.toldAt+tellEvery {
 		return
 	}
-	price := l.set.PeerPrice * float64(l.set.Nodes-1) / MessageMost
-	if l.tellings.left < price*float64(1+4*min(l.outstanding, tellMost)) {
+	readers := float64(l.set.Nodes - 1)
+	cpu := readers * readCost
+	kind := tellLoads
+	switch {
+	case l.now >= l.toldOutcomesAt+outcomesEvery && (l.set.CPUPerRequest == 0 || l.readings.left >= cpu):
+		kind, l.toldOutcomesAt = tellOutcomes, l.now
+	case l.set.CPUPerRequest > 0 && cpu > l.set.CPUPerRequest:
 		return
+	case !l.changed && l.now < l.toldAt+toldOld/3:
+		return
+	default:
+		l.changed = false
 	}
-	body := []byte{tellVersion}
-	for _, s := range l.list {
-		if s.inflight == 0 || len(body) > MessageMost-4 {
-			continue
-		}
-		silent := 0.0
-		if _, a := s.oldest(); a != nil {
-			silent = l.now - max(a.sentAt, s.outcomeAt)
-		}
-		body = append(body, byte(s.name>>8), byte(s.name), byte(min(255, s.inflight)), byte(min(255, silent/silentStep)))
-	}
-	l.tellings.left -= price * float64(len(body))
-	l.toldAt, l.changed = l.now, false
+	body := l.message(kind)
+	l.readings.left -= cpu
+	l.tellings.left -= l.set.PeerPrice * readers * float64(len(body)) / MessageMost
+	l.toldAt = l.now
 	l.do(Tell{body})
 }
 
-// hear takes in what another node tells: each message replaces its last. One that cannot be read is dropped whole,
-// and servers that this node's own list does not name are passed over.
-func (l *Logic) hear(e Told) {
-	if !l.set.Peers || len(e.Body) == 0 || e.Body[0] != tellVersion || len(e.Body)%4 != 1 || len(e.Body) > MessageMost {
-		return
-	}
-	l.heardAt = l.now
-	if at, ok := l.heardFrom[e.From]; ok {
-		l.hearGap += lagGain * (min(toldOld, l.now-at) - l.hearGap)
-	}
-	l.heardFrom[e.From] = l.now
-	for _, s := range l.said[e.From] {
-		s.told = slices.DeleteFunc(s.told, func(t told) bool { return t.from == e.From })
+// hearing says that the other nodes can be heard.
+func (l *Logic) hearing() bool { return l.heardAt > 0 && l.now < l.heardAt+l.toldFor() }
+
+// toldFor is how long what a node told is believed.
+func (l *Logic) toldFor() Millis { return max(toldOld, 3*l.hearGap) }
+
+// badShare is a server's failure share by what this node saw and the others told, those counting half.
+func (l *Logic) badShare(s *server) float64 {
+	if !l.set.Peers {
+		return 0
 	}
-	said := l.said[e.From][:0]
-	for b := e.Body[1:]; len(b) > 0; b = b[4:] {
-		if s := l.named[uint16(b[0])<<8|uint16(b[1])]; s != nil {
-			s.told = append(s.told, told{e.From, float64(b[2]), l.now, l.now - float64(b[3])*silentStep})
-			said = append(said, s)
+	ok, fail := s.window(l.now)
+	bad, all := float64(fail), float64(ok+fail)+badPrior
+	for _, t := range s.told {
+		if t.kind == tellOutcomes && l.now < t.at+3*outcomesEvery {
+			bad, all = bad+t.b/2, all+(t.a+t.b)/2
 		}
 	}
-	l.said[e.From] = said
+	return bad / all
 }
 
-// hearing says that the other nodes can be heard.
-func (l *Logic) hearing() bool { return l.heardAt > 0 && l.now < l.heardAt+toldOld }
-
 // hushed is for how long a server has kept silent to other nodes. One node's word may be one heavy request, so the
 // second longest counts, and only where this node was not answered since.
 func (l *Logic) hushed(s *server) Millis {
-	first, second := l.now, l.now
+	first, second := 0.0, 0.0
 	for _, t := range s.told {
-		if since := t.since; l.now < t.at+toldOld {
-			if since < first {
-				first, since = since, first
-			}
-			second = min(second, since)
+		silent := t.b * silentStep
+		if t.kind == tellLoads && l.now < t.at+l.toldFor() && s.answeredTo < t.at-silent {
+			second = max(second, min(first, silent))
+			first = max(first, silent)
 		}
 	}
-	if s.answeredTo >= second {
-		return 0
-	}
-	return l.now - second
+	return second
 }
 
 // ---- requests
@@ -1000,6 +993,9 @@
 			if s.Zone != l.set.Zone {
 				s.price += crossing
 			}
+			if l.look(s); s.bad > 0 {
+				s.price += s.bad * r.class.Aim
+			}
 			if l.classFault(s, r.class) {
 				s.price += l.classBad(s, r.class) * r.class.Aim
 			}
@@ -1150,6 +1146,7 @@
 	}
 	l.retries.refill(l.retries.at+1, retryShare, retryBurst)
 	l.tellings.refill(l.tellings.at+1, tellSpend, tellBurst*tellSpend)
+	l.readings.refill(l.readings.at+1, readShare*l.set.CPUPerRequest, tellBurst*readShare*l.set.CPUPerRequest)
 	if price := l.set.ProbePrice; price > 0 {
 		l.probes.left = min(3*probeWidth, l.probes.left+l.ease*probeSpend/price)
 	} else {
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,53 +12,55 @@
 
 // Logic decides for one node. It is pure: time and chance come in through Step and New.
 type Logic struct {
-	set         Settings
-	rng         *rand.Rand
-	now         Millis
-	out         []Action
-	servers     map[ServerID]*server
-	known       []*server // in the order first heard of
-	list        []*server // of these, the ready ones
-	near        []*server // of these, the ones this node sends to
-	scoredAt    Millis
-	classes     map[string]*classState
-	tenants     map[string]*tenantState
-	requests    map[RequestID]*request
-	heldQueue   []*request
-	outstanding int // attempts out
-	started     bool
-	sweeping    bool
-	askDelay    Millis
-	askAt       Millis
-	asking      bool
-	subscribe   bool
-	retries     tokens // further attempts
-	unit        Millis // typical unit time over servers
-	guess       Millis // what it was taken to be before any was measured
-	hintMean    Millis
-	pool        []*server // scratch space of candidates
-	shared      bool
-	feelers     tokens  // requests sent where nothing fits
-	width       float64 // requests that a server works on at once, typically
-	probes      tokens  // probes that may be sent
-	ease        float64 // share of these that the servers bear
-	probeTook   Millis  // usual time of a probe
-	pace        float64 // the fleet's times against the servers' own records
-	refused     map[subject]comingBack
-	meanWorth   float64 // over the classes
-	nearCount   int     // how often near was chosen
-	quickest    Millis  // the least time that a server takes for a request ...
-	quickestAt  Millis  // ... at this time
-	lag         Millis  // how old reports are when they come, as far as it shows
-	changed     bool    // since the other nodes were told
-	toldAt      Millis
-	heardAt     Millis
-	heardFrom   map[int]Millis
-	hearGap     Millis             // usual time between two messages of a node
-	tellings    tokens             // worth that messages may cost
-	named       map[uint16]*server // by the name used in messages; nil where two share one
-	said        map[int][]*server  // of which servers a node last spoke
-	crowd       float64            // requests of other nodes at a server, mean of the fleet by recent reports
+	set            Settings
+	rng            *rand.Rand
+	now            Millis
+	out            []Action
+	servers        map[ServerID]*server
+	known          []*server // in the order first heard of
+	list           []*server // of these, the ready ones
+	near           []*server // of these, the ones this node sends to
+	scoredAt       Millis
+	classes        map[string]*classState
+	tenants        map[string]*tenantState
+	requests       map[RequestID]*request
+	heldQueue      []*request
+	outstanding    int // attempts out
+	started        bool
+	sweeping       bool
+	askDelay       Millis
+	askAt          Millis
+	asking         bool
+	subscribe      bool
+	retries        tokens // further attempts
+	unit           Millis // typical unit time over servers
+	guess          Millis // what it was taken to be before any was measured
+	hintMean       Millis
+	pool           []*server // scratch space of candidates
+	shared         bool
+	feelers        tokens  // requests sent where nothing fits
+	width          float64 // requests that a server works on at once, typically
+	probes         tokens  // probes that may be sent
+	ease           float64 // share of these that the servers bear
+	probeTook      Millis  // usual time of a probe
+	pace           float64 // the fleet's times against the servers' own records
+	refused        map[subject]comingBack
+	meanWorth      float64 // over the classes
+	nearCount      int     // how often near was chosen
+	quickest       Millis  // the least time that a server takes for a request ...
+	quickestAt     Millis  // ... at this time
+	lag            Millis  // how old reports are when they come, as far as it shows
+	changed        bool    // since the other nodes were told
+	toldAt         Millis
+	heardAt        Millis
+	heardFrom      map[int]Millis
+	toldOutcomesAt Millis
+	hearGap        Millis                // usual time between two messages of a node
+	tellings       tokens                // worth that messages may cost
+	readings       tokens                // CPU that reading them may cost the others
+	named          map[uint16]*server    // by the name used in messages; nil where two share one
+	said           map[speaker][]*server // of which servers a node last spoke
+	crowd          float64               // requests of other nodes at a server, mean of the fleet by recent reports
 }
 
 // attempt is one send of a request.
@@ -186,27 +188,11 @@
 	lookedAt      Millis  // when the two below were worked out
 	hands         float64 // requests it is taken to hold
 	felt          Millis  // for each of them
+	bad           float64 // share of requests that fail there
 	name          uint16  // in messages
 	told          []told
 }
 
-// told is what another node last said of a server.
-type told struct {
-	from  int
-	count float64 // requests that it has there
-	at    Millis
-	since Millis // it has not been answered since
-}
-
-// toldLoad is what the other nodes have at a server, by their last messages.
-func (s *server) toldLoad() float64 {
-	sum := 0.0
-	for _, t := range s.told {
-		sum += t.count
-	}
-	return sum
-}
-
 // hash is the same at every node.
 func hash(text string) uint64 {
 	h := fnv.New64a()
@@ -217,20 +203,6 @@
 	return x ^ x>>33
 }
 
-// nameServers gives each server a short name, the same at every node.
-func (l *Logic) nameServers() {
-	l.named = map[uint16]*server{}
-	for _, s := range l.known {
-		s.hash = hash(string(s.ID))
-		s.name = uint16(s.hash)
-		if _, taken := l.named[s.name]; taken {
-			l.named[s.name] = nil
-			continue
-		}
-		l.named[s.name] = s
-	}
-}
-
 func (s *server) window(now Millis) (ok, fail int) {
 	index := int64(now / bucketLen)
 	for _, b := range s.buckets {
