--- a/logic/logic.go
+++ b/logic/logic.go
@@ -665,10 +665,10 @@
 	cpu := readers * readCost
 	kind := tellLoads
 	switch {
-	case l.now >= l.toldOutcomesAt+outcomesEvery && (l.set.CPUPerRequest == 0 || l.readings.left >= cpu):
-		kind, l.toldOutcomesAt = tellOutcomes, l.now
 	case l.set.CPUPerRequest > 0 && cpu > l.set.CPUPerRequest:
 		return
+	case l.now >= l.toldOutcomesAt+outcomesEvery:
+		kind, l.toldOutcomesAt = tellOutcomes, l.now
 	case !l.changed && l.now < l.toldAt+toldOld/3:
 		return
 	default:
@@ -689,7 +689,7 @@
 
 // badShare is a server's failure share by what this node saw and the others told, those counting half.
 func (l *Logic) badShare(s *server) float64 {
-	if !l.set.Peers {
+	if !l.set.Peers || len(s.told) == 0 && s.failedAt < l.now-bucketCount*bucketLen {
 		return 0
 	}
 	ok, fail := s.window(l.now)
@@ -825,7 +825,10 @@
 		r.value = l.marginalWorth(r)
 	}
 	sort.SliceStable(queue, func(i, j int) bool { return queue[i].value > queue[j].value })
-	ahead, misses := 0.0, 0
+	ahead := 0.0
+	if l.missedAt != l.now { // one that found no place at this time need not look again for each event
+		l.missedAt, l.misses = l.now, 0
+	}
 	probing := slices.ContainsFunc(l.list, func(s *server) bool { return s.probeOut })
 	for _, r := range queue {
 		if r.done {
@@ -835,13 +838,13 @@
 			l.heldQueue = append(l.heldQueue, r)
 			continue
 		}
-		if misses < missLimit {
+		if l.misses < missLimit {
 			if s := l.pick(r); s != nil {
 				l.send(r, s)
 				continue
 			}
 			if !r.mayRun { // one bound to a lost group must not keep the rest from being looked at
-				misses++
+				l.misses++
 			}
 		}
 		if l.hopeless(r, ahead) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -43,6 +43,8 @@
 	probes         tokens  // probes that may be sent
 	ease           float64 // share of these that the servers bear
 	probeTook      Millis  // usual time of a probe
+	missedAt       Millis  // when the last request found no place ...
+	misses         int     // how many did then
 	pace           float64 // the fleet's times against the servers' own records
 	refused        map[subject]comingBack
 	meanWorth      float64 // over the classes
@@ -164,6 +166,7 @@
 	unit          Millis // time for each request in its hands: its speed as felt from here
 	seen          bool   // unit stems from its own outcomes
 	outcomeAt     Millis
+	failedAt      Millis  // the last failure noted
 	answeredTo    Millis  // the latest send that was answered
 	lost          int     // own attempts that it does not have in hand, by its latest report
 	place         float64 // on the ring
@@ -236,6 +239,7 @@
 		b.ok++
 	} else {
 		b.fail++
+		s.failedAt = now
 	}
 	s.recent[s.recentPos] = good
 	s.recentPos = (s.recentPos + 1) % recentCount
