Price a server at once by a row of failures

Exclusion stops by design where few are well. Ruled out: nodes cut off (they reached the 15 good servers when they tried).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -699,7 +699,8 @@
 			bad, all = bad+t.b/2, all+(t.a+t.b)/2
 		}
 	}
-	return bad / all
+	row := (1 - math.Pow(0.5, float64(s.failures))) * math.Exp(-(l.now-s.outcomeAt)/staleDecay)
+	return max(row, bad/all) // what just failed here in a row is likelier to fail than its long record says
 }
 
 // hushed is for how long a server has kept silent to other nodes. One node's word may be one heavy request, so the
