--- a/logic/api.go
+++ b/logic/api.go
@@ -88,7 +88,7 @@
 	ConnectTimeout Millis
 	Tick           Millis
 	LateFailPrice  float64 // price of worth that ends unserved after its aim
-	CrossZonePrice float64 // price of each first try crossing zones once, as a share of all worth; those below alike
+	CrossZonePrice float64 // each first try crossing zones once, as a share of all worth; so those below
 	ProbePrice     float64 // one probe a first try
 	PeerPrice      float64 // one full message received a first try
 	CPUPerRequest  float64 // microseconds that a request and all that comes with it may cost; 0: not limited
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,19 +56,17 @@
 	askAgain     = 0.25  // of a unit time: by then a few of the busy servers have finished a request
 	reportFresh  = 8.0   // a report younger than this needs no probe
 
-	packed     = 3.0  // times what it works on at once: a server that holds more gets slower for all
-	warmGain   = 0.5  // share of the work taken to be saved where a key was met lately
-	lostAfter  = 3.0  // times the expected: out for longer and not in the report is not on its way
-	spareRisk  = 2.0  // times the idle share of the fleet: half idle, and a request may take all its time
-	nearLeast  = 2    // a choice, and as few others as can be share what this node then knows well
-	nearShared = 4    // nodes at least that share a server, so that losing one or two changes little
-	lagGain    = 0.05 // some twenty answers make the reports' usual lag
+	packed    = 3.0  // times what it works on at once: a server that holds more gets slower for all
+	warmGain  = 0.5  // share of the work taken to be saved where a key was met lately
+	lostAfter = 3.0  // times the expected: out for longer and not in the report is not on its way
+	spareRisk = 2.0  // times the idle share of the fleet: half idle, and a request may take all its time
+	lagGain   = 0.05 // some twenty answers make the reports' usual lag
 
 	tellEvery     = 10.0   // messages are under way as long
 	tellSpend     = 0.006  // of all worth: what messages may cost, each reader counted
 	tellBurst     = 50.0   // arrivals: a message to a hundred nodes is paid for by some ten
 	readCost      = 1.0    // microseconds that a message costs each reader
-	readShare     = 0.3    // of the CPU that a request may cost, for messages read
+	refusedMost   = 4096   // refusals remembered: seconds of a busy node
 	badPrior      = 5.0    // successes taken for granted: one failure is chance
 	outcomesEvery = 2000.0 // a window of ten seconds changes slowly
 	toldOld       = 3000.0 // a node that is not heard for so long is gone or cut off
@@ -97,11 +95,13 @@
 	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
-		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{}, width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}}
+		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{},
+		width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}, trialBy: Unsafe}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
 		l.unit = min(l.unit, c.Aim/4) // until measured: four requests make an aim
+		l.trialBy = min(l.trialBy, c.Effect)
 		l.meanWorth += c.Worth / float64(len(set.Classes))
 	}
 	l.guess = l.unit
@@ -206,32 +206,11 @@
 	}
 	l.forgetGone()
 	l.nameServers()
-	l.chooseNear()
+	l.listed++
 	l.runScores()
 	l.dispatch()
 }
 
-// chooseNear picks the servers this node keeps to, where it would hear of each too rarely to judge it: a
-// window on a ring in an order that all nodes share. The ring mixes sizes and zones, so that windows hold
-// them in proportion; windows start evenly spread, so that each server lies in as many. Excluded servers do
-// not count: what is lost is made up for. Without effect where nodes are few or ask for loads.
-func (l *Logic) chooseNear() {
-	want := max(nearLeast, nearShared*len(l.list)/l.set.Nodes)
-	if l.set.Reports {
-		want = len(l.list)
-	}
-	ring := interleave(l.list)
-	from := int(math.Mod(float64(l.set.Node)*math.Phi, 1) * float64(len(ring)))
-	l.near = l.near[:0]
-	l.nearCount++
-	for i, good := 0, 0; i < len(ring) && good < want; i++ {
-		s := ring[(from+i)%len(ring)]
-		if l.near = append(l.near, s); !s.excluded {
-			good++
-		}
-	}
-}
-
 // listFailed retries with jittered growing pauses: all nodes lose discovery together.
 func (l *Logic) listFailed() {
 	l.asking, l.subscribe = false, false
@@ -277,24 +256,11 @@
 	}
 }
 
-// ramp is the least share of its capacity a server can have by now.
-func (l *Logic) ramp(s *server) float64 {
-	if s.Started <= 0 || l.set.ColdFor <= 0 {
-		return 1
-	}
-	age := max(0, l.now-s.Started)
-	return min(1, l.set.ColdFrom+(1-l.set.ColdFrom)*age/l.set.ColdFor)
-}
-
 // coldRate is the cost per millisecond that this node may send a cold server: its part of the
-// budget, had every node that keeps to it sent as much; the others' windows are taken to be as long as ours.
+// budget, had every node sent as much; the others' windows are taken to be as long as ours.
 // Everything sent counts, refused work too. Where a node's part is under one request its phase rations.
 func (l *Logic) coldRate(s *server) float64 {
-	sharers := float64(l.set.Nodes)
-	if len(l.near) < len(l.list) {
-		sharers = min(sharers, 1+math.Ceil(sharers*float64(len(l.near))/float64(len(l.list))))
-	}
-	return coldMargin * l.set.FallMultiple * l.ramp(s) / l.typicalUnit(s) / sharers
+	return coldMargin * l.set.FallMultiple * l.ramp(s) / l.typicalUnit(s) / float64(l.set.Nodes)
 }
 
 // coldRoom refills a cold server's budget and tells whether cost fits. It guards against pushing over a
@@ -341,29 +307,7 @@
 // feltLatency is the smoothed latency, raised at once by attempts that stay out longer: silence counts
 // before the outcome arrives. Evidence that nothing renews fades toward the typical.
 func (l *Logic) feltLatency(s *server) Millis {
-	return max(1e-3, l.fade(s, s.latency), l.overdue(s, false), l.hushed(s))
-}
-
-// look judges a server at most once at one time, unless something happens there: many requests ask.
-func (l *Logic) look(s *server) {
-	if s.lookedAt != l.now {
-		s.lookedAt = l.now
-		s.hands = l.countHands(s)
-		s.felt = l.feelUnit(s)
-		s.bad = l.badShare(s)
-	}
-}
-
-// occupancy is the requests that a server is taken to have in hand.
-func (l *Logic) occupancy(s *server) float64 {
-	l.look(s)
-	return s.hands
-}
-
-// feltUnit is the time that a server is taken to need for each request in its hands.
-func (l *Logic) feltUnit(s *server) Millis {
-	l.look(s)
-	return s.felt
+	return max(1e-3, l.fade(s, s.latency), l.overdue(s, false))
 }
 
 // feelUnit is the time a server takes for each request in its hands.
@@ -372,16 +316,7 @@
 	if !s.seen {
 		unit = l.typicalUnit(s) // not the guess of its first moment
 	}
-	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true), l.hushed(s)/max(1, l.turns(s.hands, 1)))
-}
-
-func (l *Logic) fade(s *server, v Millis) Millis {
-	idle := l.now - s.outcomeAt - staleAfter
-	if idle <= 0 || s.inflight > 0 {
-		return v
-	}
-	base := l.typicalUnit(s)
-	return base + (v-base)*math.Exp(-idle/staleDecay)
+	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true))
 }
 
 // overdue is how long a server has kept silent over its oldest attempt: alone, or for each request ahead of
@@ -422,7 +357,7 @@
 	s.latency += gain * (felt - s.latency)
 	unit := elapsed / a.turns
 	if good && s.seen { // what slows all down shows in all answers, long before each server's own record
-		l.pace += paceGain*(min(unit/s.unit, paceMost)-l.pace) + paceRest*(1-l.pace)
+		l.pace += paceGain*(min(paceMost, max(1/paceMost, unit/s.unit))-l.pace) + paceRest*(1-l.pace)
 	}
 	unit /= l.pace
 	if good || (result == TimedOut || result == Cancelled) && unit > s.unit && !s.passed(a) {
@@ -435,16 +370,6 @@
 	l.judge(s, result, a.sentAt)
 }
 
-// classBad is a class's failure share at a server, forgotten slowly. It is priced as time when servers are
-// compared: a server may fail or lose one class and serve the others well.
-func (l *Logic) classBad(s *server, c *classState) float64 {
-	h := s.class(c)
-	if h.bad == 0 {
-		return 0
-	}
-	return h.bad * math.Exp(-(l.now-h.at)/classMemory)
-}
-
 // noteClass books an outcome to its class and tells whether the fault is the class's own at this server: it
 // fails there while another class is served well. Such failures, and such silence, say nothing about the
 // server; counting them would shun a server that is good for all the rest.
@@ -510,7 +435,7 @@
 		return
 	}
 	s.excluded, s.trialAt = true, l.now+cooldown
-	l.chooseNear()
+	l.listed++
 	l.logf("excluded %s: %d failures in a row, %d of %d in the window", s.ID, s.failures, fail, ok+fail)
 }
 
@@ -533,7 +458,7 @@
 	s.excluded, l.shared = false, false
 	s.buckets, s.recentLen, s.recentPos = [bucketCount]bucket{}, 0, 0
 	l.newcomer(s)
-	l.chooseNear()
+	l.listed++
 	l.logf("readmitted %s after its trial", s.ID)
 }
 
@@ -572,7 +497,8 @@
 		if missing >= 1 && a.missed == 0 {
 			a.missed = out
 		}
-		a.lost = missing >= 1 && out > reportFresh+2*l.lag && (a.sentAt < s.answeredTo || out > lostAfter*a.expected)
+		a.lost = missing >= 1 && out > reportFresh+2*l.lag &&
+			(a.sentAt < s.answeredTo || out > lostAfter*a.expected)
 		if !a.lost {
 			continue
 		}
@@ -614,8 +540,8 @@
 	return own + usual + (s.others-usual)*fresh
 }
 
-// turns is how many requests' times pass at a server that holds so many until one more is done: it works on several
-// at once, as the reports of queues show, and only what is beyond them waits.
+// turns is how many requests' times pass until a server that holds so many is done with one more: it works on
+// several at once, as the reports of queues show, and only what is beyond them waits.
 func (l *Logic) turns(ahead, cost float64) float64 {
 	width := math.Round(l.width)
 	return cost + max(0, ahead+1-width)/width
@@ -639,33 +565,31 @@
 		l.report(s, e.Load)
 	case Overloaded:
 		l.ease *= 1 - probeEase
-	case Errored, TimedOut, Unreachable, Broken: // what does not even answer a probe serves nothing
-		if e.Result == TimedOut {
-			l.ease *= 1 - probeEase
-			l.probeTook += widthGain * (e.Elapsed - l.probeTook)
-		}
-		if e.Result != TimedOut || e.Elapsed > lostAfter*l.probeTook || !l.set.ProbedOnly { // some wait their turn like a request
-			s.note(l.now, false)
-			l.judge(s, e.Result, l.now-e.Elapsed)
+	case TimedOut:
+		l.ease *= 1 - probeEase
+		l.probeTook += widthGain * (e.Elapsed - l.probeTook)
+		if l.set.ProbedOnly && e.Elapsed <= lostAfter*l.probeTook {
+			break // probes wait there like requests: this one shows a queue
 		}
+		fallthrough
+	case Errored, Unreachable, Broken: // what does not even answer a probe serves nothing
+		s.note(l.now, false)
+		l.judge(s, e.Result, l.now-e.Elapsed)
 	}
 	l.dispatch()
 }
 
 // ---- what nodes tell one another
 
-// tell lets the other nodes know what this one has at each server and how its sends there ended, as often as may be
-// paid for. Where reading costs the others more than a request may, loads would be old when they are told again, and
-// only outcomes are.
+// tell lets the other nodes know what this one has at each server and how its sends there ended, as often as
+// may be paid for. Where reading a message costs them all more than a request may, nothing is told.
 func (l *Logic) tell() {
 	if !l.set.Peers || l.set.Nodes < 2 || l.tellings.left <= 0 || l.now < l.toldAt+tellEvery {
 		return
 	}
-	readers := float64(l.set.Nodes - 1)
-	cpu := readers * readCost
-	kind := tellLoads
+	readers, kind := float64(l.set.Nodes-1), tellLoads
 	switch {
-	case l.set.CPUPerRequest > 0 && cpu > l.set.CPUPerRequest:
+	case l.set.CPUPerRequest > 0 && readers*readCost > l.set.CPUPerRequest:
 		return
 	case l.now >= l.toldOutcomesAt+outcomesEvery:
 		kind, l.toldOutcomesAt = tellOutcomes, l.now
@@ -675,18 +599,11 @@
 		l.changed = false
 	}
 	body := l.message(kind)
-	l.readings.left -= cpu
 	l.tellings.left -= l.set.PeerPrice * readers * float64(len(body)) / MessageMost
 	l.toldAt = l.now
 	l.do(Tell{body})
 }
 
-// hearing says that the other nodes can be heard.
-func (l *Logic) hearing() bool { return l.heardAt > 0 && l.now < l.heardAt+l.toldFor() }
-
-// toldFor is how long what a node told is believed.
-func (l *Logic) toldFor() Millis { return max(toldOld, 3*l.hearGap) }
-
 // badShare is a server's failure share by what this node saw and the others told, those counting half.
 func (l *Logic) badShare(s *server) float64 {
 	if !l.set.Peers || len(s.told) == 0 && s.failedAt < l.now-bucketCount*bucketLen {
@@ -703,20 +620,6 @@
 	return max(row, bad/all) // what just failed here in a row is likelier to fail than its long record says
 }
 
-// hushed is for how long a server has kept silent to other nodes. One node's word may be one heavy request, so the
-// second longest counts, and only where this node was not answered since.
-func (l *Logic) hushed(s *server) Millis {
-	first, second := 0.0, 0.0
-	for _, t := range s.told {
-		silent := t.b * silentStep
-		if t.kind == tellLoads && l.now < t.at+l.toldFor() && s.answeredTo < t.at-silent {
-			second = max(second, min(first, silent))
-			first = max(first, silent)
-		}
-	}
-	return second
-}
-
 // ---- requests
 
 func (l *Logic) arrive(e Arrival) {
@@ -738,10 +641,9 @@
 	l.requests[r.id] = r
 	r.subject = subject{e.Key, c}
 	l.setAim(r, e.Retry)
-	if back, ok := l.refused[r.subject]; ok && e.Key != "" && !l.set.MarksRetry && l.now < back.until {
+	if back, ok := l.refused[r.subject]; ok && l.now < back.until { // not marked, but surely the same again
 		delete(l.refused, r.subject)
-		r.aimAt = back.aimAt
-		r.late = r.aimAt <= l.now
+		r.aimAt, r.late = back.aimAt, back.aimAt <= l.now
 	}
 	l.countArrival(r, e.Retry)
 	if r.late && c.LateShare <= 0 { // worth nothing by now: work on it would make others late as well
@@ -769,15 +671,6 @@
 	r.late = r.aimAt <= l.now
 }
 
-func (l *Logic) hintCost(hint Millis) float64 {
-	if l.hintMean == 0 {
-		l.hintMean = hint
-	}
-	cost := min(32, max(0.25, hint/l.hintMean))
-	l.hintMean += 0.02 * (min(hint, 4*l.hintMean) - l.hintMean) // heavy ones must not move the mean much
-	return cost
-}
-
 // askLoad probes a few servers, drawn by score, of unknown load.
 func (l *Logic) askLoad(r *request) {
 	if !l.set.MayProbe || !l.set.Reports || len(l.list) < 2 {
@@ -864,11 +757,9 @@
 // hopeless says that a held request cannot make its aim: refusing early spares servers and clients.
 func (l *Logic) hopeless(r *request, ahead float64) bool {
 	best, n := math.Inf(1), 0
-	if !r.mayRun && l.quickestAt == l.now { // the same for all that are free to go anywhere
-		best, n = l.quickest*r.cost, len(l.list)
-	}
 	for _, s := range l.list {
-		if n == len(l.list) {
+		if !r.mayRun && l.quickestAt == l.now { // the same for all that are free to go anywhere
+			best, n = l.quickest*r.cost, len(l.list)
 			break
 		}
 		if l.allowed(r, s) && !(r.mayRun && (s.excluded || r.tried(s))) { // its group may be lost as a whole
@@ -911,12 +802,12 @@
 // all are excluded, all are candidates.
 func (l *Logic) candidates(r *request) []*server {
 	open := l.pool[:0]
-	all := !slices.ContainsFunc(l.near, func(s *server) bool { return !s.excluded })
-	for _, s := range l.near {
+	all := !slices.ContainsFunc(l.list, func(s *server) bool { return !s.excluded })
+	for _, s := range l.list {
 		if !l.allowed(r, s) || !l.coldRoom(s, r.cost) || r.tried(s) {
 			continue
 		}
-		trial := l.now >= s.trialAt && s.inflight == 0 && r.class.Effect != Unsafe && len(r.attempts) == 0
+		trial := l.now >= s.trialAt && s.inflight == 0 && r.class.Effect == l.trialBy && len(r.attempts) == 0
 		if all || !s.excluded || trial {
 			open = append(open, s)
 		}
@@ -940,28 +831,6 @@
 	return nil
 }
 
-// homes are the two servers that all nodes prefer for a request's key, where a server that met it lately does less
-// work for it: the two highest by a hash of both, of those not excluded.
-func (l *Logic) homes(r *request) (first, second *server) {
-	if r.key == 0 || r.homesAt == l.nearCount {
-		return r.first, r.second
-	}
-	var high, next uint64
-	for _, s := range l.near {
-		h := (r.key ^ s.hash) * 0x9e3779b97f4a7c15
-		if h ^= h >> 32; s.excluded || h <= next {
-			continue
-		}
-		if h > high {
-			first, second, high, next = s, first, h, high
-		} else {
-			second, next = s, h
-		}
-	}
-	r.first, r.second, r.homesAt = first, second, l.nearCount
-	return first, second
-}
-
 // idleRisk is the expected share of the time left at which a server with nothing in hand may still be tried:
 // heavy requests too while much of the fleet is idle, since hints are rough and nothing else is held up.
 func (l *Logic) idleRisk() float64 {
@@ -984,7 +853,7 @@
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
-	crossing := l.set.CrossZonePrice * r.class.Aim * l.meanWorth / r.class.Worth
+	crossing := l.set.CrossZonePrice * r.class.Aim * l.meanWorth / max(1e-3, r.class.Worth)
 	for _, s := range open {
 		cost := r.cost
 		if s == first || s == second {
@@ -992,14 +861,10 @@
 		}
 		s.expect = l.feltUnit(s) * l.turns(l.occupancy(s), cost)
 		if l.occupancy(s) < most && s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
-			s.price = s.expect
-
+			s.price = s.expect + s.bad*r.class.Aim
 			if s.Zone != l.set.Zone {
 				s.price += crossing
 			}
-			if l.look(s); s.bad > 0 {
-				s.price += s.bad * r.class.Aim
-			}
 			if l.classFault(s, r.class) {
 				s.price += l.classBad(s, r.class) * r.class.Aim
 			}
@@ -1012,10 +877,10 @@
 	}
 	for len(fit) > 0 {
 		s := l.draw(fit)
-		if slices.Contains(fit, first) {
-			s = first
-		} else if slices.Contains(fit, second) {
-			s = second
+		for _, home := range []*server{second, first} { // a key's homes come before the draw while they fit
+			if slices.Contains(fit, home) {
+				s = home
+			}
 		}
 		if s.price <= best*redrawFactor {
 			return s
@@ -1026,9 +891,10 @@
 	return nil
 }
 
-// room widens a share of the time left where a late answer still earns something: less is lost by a wrong guess.
+// room widens a share of the time left where a late answer still earns something: less is lost by a wrong
+// guess. But where the goal has a tail, more is.
 func (l *Logic) room(c *classState, share float64) float64 {
-	if l.set.Goal.Tail > 0 { // but there more is lost by it
+	if l.set.Goal.Tail > 0 {
 		return share
 	}
 	return share + (1-share)*c.LateShare
@@ -1046,8 +912,8 @@
 func (l *Logic) send(r *request, s *server) {
 	s.budget.left -= r.cost
 	l.changed = true
-	a := attempt{server: s, sentAt: l.now, turns: max(1, l.turns(l.occupancy(s), r.cost)), expected: l.expected(s, r),
-		open: true}
+	a := attempt{server: s, sentAt: l.now, turns: max(1, l.turns(l.occupancy(s), r.cost)),
+		expected: l.expected(s, r), open: true}
 	r.attempts = append(r.attempts, a)
 	r.held, r.open = false, r.open+1
 	s.inflight++
@@ -1116,7 +982,10 @@
 		l.do(Fail{r.id})
 	} else {
 		l.do(Refuse{ID: r.id, RetryAfter: l.retryAfter(r)})
-		if r.subject.key != "" {
+		if len(l.refused) >= refusedMost {
+			clear(l.refused)
+		}
+		if r.subject.key != "" && !l.set.MarksRetry {
 			l.refused[r.subject] = comingBack{r.aimAt, l.now + r.class.Aim}
 		}
 	}
@@ -1150,12 +1019,7 @@
 	}
 	l.retries.refill(l.retries.at+1, retryShare, retryBurst)
 	l.tellings.refill(l.tellings.at+1, tellSpend, tellBurst*tellSpend)
-	l.readings.refill(l.readings.at+1, readShare*l.set.CPUPerRequest, tellBurst*readShare*l.set.CPUPerRequest)
-	if price := l.set.ProbePrice; price > 0 {
-		l.probes.left = min(3*probeWidth, l.probes.left+l.ease*probeSpend/price)
-	} else {
-		l.probes.left = 3 * probeWidth
-	}
+	l.probes.left = min(3*probeWidth, l.probes.left+l.ease*probeSpend/max(1e-9, l.set.ProbePrice))
 	if t := r.tenant; t != nil && t.Quota > 0 {
 		quota := t.Quota * l.quotaScale()
 		t.quota.refill(l.now, quota/1000, quota)
@@ -1195,7 +1059,7 @@
 		worstTenant = min(worstTenant, l.tenants[t.Name].ratio())
 	}
 	g := l.set.Goal
-	gain := (g.Whole + g.WorstWindow + g.Tail) / max(1e-9, total)
+	gain := (g.Whole + g.WorstWindow + g.Tail + g.Nines) / max(1e-9, total)
 	if r.class.ratio() <= worstClass {
 		gain += g.WorstClass / max(1e-9, r.class.asked)
 	}
--- a/logic/message.go
+++ b/logic/message.go
@@ -1,26 +1,26 @@
 package logic
 
-// The form of messages between nodes, and what of them is kept. When to tell and what to make of it is in logic.go.
+// The form of messages between nodes, and what of them is kept. When to tell and what to make of it is in
+// logic.go.
 //
-// A message is a byte of version and kind, then four bytes for each server: two of its name's hash, and two figures. Each
-// replaces what the same node told of the same kind before, so a lost one is made good by the next.
+// A message is a byte of version and kind, then for each server two bytes of its name's hash and its figures.
+// Each replaces what the same node told of the same kind before, so a lost one is made good by the next.
 
 import "slices"
 
-const (
-	tellVersion = 0x10 // in the upper half of the first byte
-	entryLen    = 4
-	silentStep  = 20.0 // unit of silence, a byte: up to 5 s
-)
+const tellVersion = 0x10 // in the upper half of the first byte
 
 // tellKind is what a message's figures mean.
 type tellKind byte
 
 const (
-	tellLoads    tellKind = iota // requests that the node has at a server, and for how long it got no answer there
+	tellLoads    tellKind = iota // requests that the node has at a server
 	tellOutcomes                 // successes and failures that it saw there in its window
 )
 
+// entryLen is the bytes that a kind takes for each server.
+func (k tellKind) entryLen() int { return 3 + int(k) }
+
 // told is what another node last said of a server.
 type told struct {
 	from int
@@ -35,33 +35,33 @@
 	kind tellKind
 }
 
-// message puts what this node has to say of its servers into bytes; servers of which it has nothing are left out.
+// message puts what this node has to say of its servers into bytes; those of which it has nothing are left out.
 func (l *Logic) message(kind tellKind) []byte {
 	body := []byte{tellVersion | byte(kind)}
 	for _, s := range l.list {
-		var a, b float64
+		entry := []byte{byte(s.name >> 8), byte(s.name), byte(min(255, s.inflight))}
+		worth := s.inflight > 0
 		if kind == tellOutcomes {
 			ok, fail := s.window(l.now)
-			a, b = float64(ok), float64(fail)
-		} else if a = float64(s.inflight); a > 0 {
-			b = s.silence(l.now) / silentStep
+			entry, worth = append(entry[:2], byte(min(255, ok)), byte(min(255, fail))), fail > 0
 		}
-		if (a > 0 && kind == tellLoads || b > 0) && len(body) <= MessageMost-entryLen {
-			body = append(body, byte(s.name>>8), byte(s.name), byte(min(255, a)), byte(min(255, b)))
+		if worth && len(body)+len(entry) <= MessageMost {
+			body = append(body, entry...)
 		}
 	}
 	return body
 }
 
-// hear keeps what another node tells. A message that cannot be read is dropped whole, and servers that this node's own
-// list does not name are passed over.
+// hear keeps what another node tells. A message that cannot be read is dropped whole, and servers that this
+// node's own list does not name are passed over.
 func (l *Logic) hear(e Told) {
 	n := len(e.Body)
-	if !l.set.Peers || e.From == l.set.Node || n == 0 || n > MessageMost || n%entryLen != 1 {
+	if !l.set.Peers || e.From == l.set.Node || n == 0 || n > MessageMost || e.Body[0]&0xf0 != tellVersion {
 		return
 	}
 	who := speaker{e.From, tellKind(e.Body[0] & 0x0f)}
-	if e.Body[0]&0xf0 != tellVersion || who.kind > tellOutcomes {
+	size := who.kind.entryLen()
+	if who.kind > tellOutcomes || (n-1)%size != 0 {
 		return
 	}
 	if who.kind == tellLoads {
@@ -75,9 +75,9 @@
 		s.lookedAt = -1
 	}
 	said := l.said[who][:0]
-	for b := e.Body[1:]; len(b) > 0; b = b[entryLen:] {
+	for b := e.Body[1:]; len(b) > 0; b = b[size:] {
 		if s := l.named[uint16(b[0])<<8|uint16(b[1])]; s != nil {
-			s.told = append(s.told, told{who.from, who.kind, float64(b[2]), float64(b[3]), l.now})
+			s.told = append(s.told, told{who.from, who.kind, float64(b[2]), float64(b[size-1]), l.now})
 			s.lookedAt = -1
 			said = append(said, s)
 		}
@@ -96,15 +96,7 @@
 	return sum
 }
 
-// silence is for how long this node's oldest attempt at a server has been without an answer.
-func (s *server) silence(now Millis) Millis {
-	if _, a := s.oldest(); a != nil {
-		return now - max(a.sentAt, s.outcomeAt)
-	}
-	return 0
-}
-
-// nameServers gives each server a short name, the same at every node. Of those that share one nothing can be told.
+// nameServers gives each server a short name, the same at every node. Of those that share one nothing is told.
 func (l *Logic) nameServers() {
 	l.named = map[uint16]*server{}
 	for _, s := range l.known {
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,7 +3,6 @@
 // What a node remembers, and plain bookkeeping over it. No decisions: those are in logic.go.
 
 import (
-	"cmp"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -19,7 +18,6 @@
 	servers        map[ServerID]*server
 	known          []*server // in the order first heard of
 	list           []*server // of these, the ready ones
-	near           []*server // of these, the ones this node sends to
 	scoredAt       Millis
 	classes        map[string]*classState
 	tenants        map[string]*tenantState
@@ -48,7 +46,8 @@
 	pace           float64 // the fleet's times against the servers' own records
 	refused        map[subject]comingBack
 	meanWorth      float64 // over the classes
-	nearCount      int     // how often near was chosen
+	listed         int     // how often the list or what is excluded has changed
+	trialBy        Effect  // classes of this effect carry trials: the least harm that there is
 	quickest       Millis  // the least time that a server takes for a request ...
 	quickestAt     Millis  // ... at this time
 	lag            Millis  // how old reports are when they come, as far as it shows
@@ -59,7 +58,6 @@
 	toldOutcomesAt Millis
 	hearGap        Millis                // usual time between two messages of a node
 	tellings       tokens                // worth that messages may cost
-	readings       tokens                // CPU that reading them may cost the others
 	named          map[uint16]*server    // by the name used in messages; nil where two share one
 	said           map[speaker][]*server // of which servers a node last spoke
 	crowd          float64               // requests of other nodes at a server, mean of the fleet by recent reports
@@ -99,7 +97,7 @@
 	subject       subject
 	key           uint64  // 0: none that matters
 	first, second *server // homes of its key ...
-	homesAt       int     // ... by this choice of near
+	homesAt       int     // ... at this count of changes
 }
 
 // subject is what a request and its client's retries have in common.
@@ -166,10 +164,9 @@
 	unit          Millis // time for each request in its hands: its speed as felt from here
 	seen          bool   // unit stems from its own outcomes
 	outcomeAt     Millis
-	failedAt      Millis  // the last failure noted
-	answeredTo    Millis  // the latest send that was answered
-	lost          int     // own attempts that it does not have in hand, by its latest report
-	place         float64 // on the ring
+	failedAt      Millis // the last failure noted
+	answeredTo    Millis // the latest send that was answered
+	lost          int    // own attempts that it does not have in hand, by its latest report
 	buckets       [bucketCount]bucket
 	recent        [recentCount]bool
 	recentLen     int
@@ -330,27 +327,6 @@
 	return float64(fail) / math.Max(1, float64(ok+fail))
 }
 
-// interleave orders servers by identity so that any run of them holds each size and zone in about the proportion
-// of the whole. The order depends on the servers alone.
-func interleave(servers []*server) []*server {
-	type group struct {
-		size float64
-		zone string
-	}
-	out := slices.Clone(servers)
-	slices.SortFunc(out, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-	members := map[group]float64{}
-	for _, s := range out {
-		s.place = members[group{s.Size, s.Zone}] + 0.5
-		members[group{s.Size, s.Zone}]++
-	}
-	for _, s := range out {
-		s.place /= members[group{s.Size, s.Zone}]
-	}
-	slices.SortStableFunc(out, func(a, b *server) int { return cmp.Compare(a.place, b.place) })
-	return out
-}
-
 // ran marks that an attempt may have run: the first one binds a keyed request's repeats.
 func (r *request) ran(a *attempt) {
 	r.mayRun = true
@@ -421,3 +397,92 @@
 	}
 	return w
 }
+
+// look judges a server at most once at one time, unless something happens there: many requests ask.
+func (l *Logic) look(s *server) {
+	if s.lookedAt != l.now {
+		s.lookedAt = l.now
+		s.hands = l.countHands(s)
+		s.felt = l.feelUnit(s)
+		s.bad = l.badShare(s)
+	}
+}
+
+// occupancy is the requests that a server is taken to have in hand.
+func (l *Logic) occupancy(s *server) float64 {
+	l.look(s)
+	return s.hands
+}
+
+// feltUnit is the time that a server is taken to need for each request in its hands.
+func (l *Logic) feltUnit(s *server) Millis {
+	l.look(s)
+	return s.felt
+}
+
+// homes are the two servers that all nodes prefer for a request's key, where a server that met it lately does
+// less work for it: the two highest by a hash of both, of those not excluded.
+func (l *Logic) homes(r *request) (first, second *server) {
+	if r.key == 0 || r.homesAt == l.listed {
+		return r.first, r.second
+	}
+	var high, next uint64
+	for _, s := range l.list {
+		h := (r.key ^ s.hash) * 0x9e3779b97f4a7c15
+		if h ^= h >> 32; s.excluded || h <= next {
+			continue
+		}
+		if h > high {
+			first, second, high, next = s, first, h, high
+		} else {
+			second, next = s, h
+		}
+	}
+	r.first, r.second, r.homesAt = first, second, l.listed
+	return first, second
+}
+
+// hearing says that the other nodes can be heard.
+func (l *Logic) hearing() bool { return l.heardAt > 0 && l.now < l.heardAt+l.toldFor() }
+
+// toldFor is how long what a node told is believed.
+func (l *Logic) toldFor() Millis { return max(toldOld, 3*l.hearGap) }
+
+// ramp is the least share of its capacity a server can have by now.
+func (l *Logic) ramp(s *server) float64 {
+	if s.Started <= 0 || l.set.ColdFor <= 0 {
+		return 1
+	}
+	age := max(0, l.now-s.Started)
+	return min(1, l.set.ColdFrom+(1-l.set.ColdFrom)*age/l.set.ColdFor)
+}
+
+// classBad is a class's failure share at a server, forgotten slowly. It is priced as time when servers are
+// compared: a server may fail or lose one class and serve the others well.
+func (l *Logic) classBad(s *server, c *classState) float64 {
+	h := s.class(c)
+	if h.bad == 0 {
+		return 0
+	}
+	return h.bad * math.Exp(-(l.now-h.at)/classMemory)
+}
+
+// fade lets what is known of a server go back to the typical once nothing renews it.
+func (l *Logic) fade(s *server, v Millis) Millis {
+	idle := l.now - s.outcomeAt - staleAfter
+	if idle <= 0 || s.inflight > 0 {
+		return v
+	}
+	base := l.typicalUnit(s)
+	return base + (v-base)*math.Exp(-idle/staleDecay)
+}
+
+// hintCost is a request's work by its hint, against the mean request.
+func (l *Logic) hintCost(hint Millis) float64 {
+	if l.hintMean == 0 {
+		l.hintMean = hint
+	}
+	cost := min(32, max(0.25, hint/l.hintMean))
+	l.hintMean += 0.02 * (min(hint, 4*l.hintMean) - l.hintMean) // heavy ones must not move the mean much
+	return cost
+}
