--- a/logic/fuzz_test.go
+++ b/logic/fuzz_test.go
@@ -48,6 +48,10 @@
 			if a.Attempt >= len(k.reqs[a.ID].sends) {
 				k.t.Fatalf("withdrew an attempt never made")
 			}
+		case Tell:
+			if !k.set.Peers || len(a.Body) > MessageMost {
+				k.t.Fatalf("told %d bytes, allowed: %v", len(a.Body), k.set.Peers)
+			}
 		case Probe:
 			if !k.set.MayProbe {
 				k.t.Fatal("probe where none is allowed")
@@ -115,10 +119,13 @@
 	f.Add([]byte{6, 1, 0, 1, 0, 1, 0, 2, 1, 1, 1, 3, 3, 2, 0, 1, 4, 4, 1, 0, 7, 3, 0, 2, 2, 200, 1, 3})
 	f.Add([]byte{6, 2, 0, 0, 2, 1, 5, 0, 1, 2, 1, 2, 3, 3, 4, 4, 0, 0, 0, 1, 0, 2, 2, 250, 2, 250, 1, 3, 1, 3, 1, 3})
 	f.Add([]byte{6, 3, 0, 1, 2, 3, 0, 1, 2, 3, 0, 1, 2, 90, 2, 90, 2, 90, 1, 1, 1, 1, 1, 2, 8, 1, 9, 9})
+	f.Add([]byte{6, 4, 8, 0x10, 0, 1, 8, 0x11, 0, 2, 8, 0x1f, 8, 0x10, 1, 0, 0, 1, 2, 90, 8, 0x11, 1, 3, 0, 2})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		set := settings()
 		if len(data) > 1 && data[0] == 6 {
 			set.SecondCopies, set.MayProbe, set.Reports = data[1]&1 == 0, data[1]&2 != 0, data[1]&2 != 0
+			set.Peers, set.ProbedOnly, set.WarmKeys = data[1]&4 != 0, data[1]&4 != 0, data[1]&4 != 0
+			set.Nodes = 1 + int(data[1]&4)
 		}
 		l, err := New(set, 3)
 		if err != nil {
@@ -137,7 +144,13 @@
 		for i := 0; i+1 < len(data); i += 2 {
 			arg := int(data[i+1])
 			var e Event
-			switch data[i] % 8 {
+			switch data[i] % 9 {
+			case 8: // from another node: as it comes, cut short, or too long
+				body := append([]byte{byte(arg)}, data[i:min(len(data), i+arg%40)]...)
+				if arg%7 == 0 {
+					body = append(body, make([]byte, 300)...)
+				}
+				e = Told{From: arg % 6, Body: body}
 			case 0:
 				id := RequestID(len(k.order) + 1)
 				c := set.Classes[arg%3]
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -357,7 +357,7 @@
 	s.latency += gain * (felt - s.latency)
 	unit := elapsed / a.turns
 	if good && s.seen { // what slows all down shows in all answers, long before each server's own record
-		l.pace += paceGain*(min(paceMost, max(1/paceMost, unit/s.unit))-l.pace) + paceRest*(1-l.pace)
+		l.pace += paceGain*(min(paceMost, max(1/paceMost, unit/max(1e-3, s.unit)))-l.pace) + paceRest*(1-l.pace)
 	}
 	unit /= l.pace
 	if good || (result == TimedOut || result == Cancelled) && unit > s.unit && !s.passed(a) {
@@ -519,8 +519,7 @@
 	return l.crowd + (s.othersAvg-l.crowd)*math.Exp(-(l.now-s.reportAt)/(crowdMemory*l.unit))
 }
 
-// countHands estimates the requests a server has in hand. Reports age toward their mean; without any the
-// other nodes are taken to send as much as this one.
+// countHands estimates the requests a server has in hand. Reports age toward their mean.
 func (l *Logic) countHands(s *server) float64 {
 	own := float64(s.inflight - s.lost)
 	if !l.set.Reports {
@@ -536,8 +535,7 @@
 		return own + usual
 	}
 	age := l.now - s.reportAt + l.lag
-	fresh := math.Exp(-age / (2 * max(1, l.unit)))
-	return own + usual + (s.others-usual)*fresh
+	return own + usual + (s.others-usual)*math.Exp(-age/(2*max(1, l.unit)))
 }
 
 // turns is how many requests' times pass until a server that holds so many is done with one more: it works on
@@ -587,18 +585,20 @@
 	if !l.set.Peers || l.set.Nodes < 2 || l.tellings.left <= 0 || l.now < l.toldAt+tellEvery {
 		return
 	}
-	readers, kind := float64(l.set.Nodes-1), tellLoads
-	switch {
-	case l.set.CPUPerRequest > 0 && readers*readCost > l.set.CPUPerRequest:
-		return
-	case l.now >= l.toldOutcomesAt+outcomesEvery:
-		kind, l.toldOutcomesAt = tellOutcomes, l.now
-	case !l.changed && l.now < l.toldAt+toldOld/3:
+	readers := float64(l.set.Nodes - 1)
+	if l.set.CPUPerRequest > 0 && readers*readCost > l.set.CPUPerRequest {
 		return
-	default:
-		l.changed = false
 	}
-	body := l.message(kind)
+	var body []byte
+	if l.now >= l.toldOutcomesAt+outcomesEvery {
+		body, l.toldOutcomesAt = l.message(tellOutcomes), l.now
+	}
+	if len(body) <= 1 { // no failures to tell of
+		if !l.changed && l.now < l.toldAt+toldOld/3 {
+			return
+		}
+		body, l.changed = l.message(tellLoads), false
+	}
 	l.tellings.left -= l.set.PeerPrice * readers * float64(len(body)) / MessageMost
 	l.toldAt = l.now
 	l.do(Tell{body})
@@ -844,7 +844,7 @@
 // longer than at the best. Nil when none would answer in time.
 func (l *Logic) pick(r *request) *server {
 	first, second := l.homes(r)
-	most := packed * math.Round(l.width) * l.room(r.class, fitShare) / fitShare
+	most := packed * math.Round(l.width) * (l.room(r.class, fitShare) / fitShare)
 	limit := min(l.room(r.class, fitShare)*(min(r.aimAt, r.expires)-r.arrived),
 		l.room(r.class, heldShare)*l.timeLeft(r))
 	if r.late {
--- /dev/null
+++ b/logic/move_test.go
@@ -0,0 +1,254 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// probed are settings under which load is learnt by probes alone and nodes may talk.
+func probed(nodes int) Settings {
+	set := settings()
+	set.Nodes, set.MayProbe, set.Reports, set.ProbedOnly, set.Peers = nodes, true, true, true, true
+	set.ProbePrice, set.PeerPrice = 0.004, 0.01
+	return set
+}
+
+// Guards against counting a server's requests one after the other where it works on several at once.
+func TestRequestsBesideOneAnother(t *testing.T) {
+	b := newBed(t, probed(1), server3(2)...)
+	for i := 0; i < 200; i++ {
+		b.step(ProbeEnd{Server: "s0", Result: OK, Load: Load{Valid: true, InFlight: 5, Queued: true, Waiting: 3}})
+	}
+	for ahead, want := range map[float64]float64{0: 1, 1: 1, 3: 2} {
+		if got := b.l.turns(ahead, 1); got != want {
+			t.Errorf("with %v ahead at two at once: %v requests' times, want %v", ahead, got, want)
+		}
+	}
+}
+
+// Guards against a flood of probes: each has a price, and servers turn away what is over their cap.
+func TestProbesStayWithinTheirSpend(t *testing.T) {
+	ask := func(result Result) int {
+		b := newBed(t, probed(1), server3(40)...)
+		for i := 0; i < 300; i++ {
+			b.now += 50
+			id, acts := b.arrive("read", 2000)
+			for _, a := range acts {
+				if p, ok := a.(Probe); ok {
+					b.step(ProbeEnd{Server: p.Server, Result: result, Elapsed: 1, Load: Load{Valid: result == OK}})
+				}
+			}
+			b.end(id, 0, sentTo(b.acts), OK, 10)
+		}
+		return count[Probe](b.acts)
+	}
+	most := int(300*probeSpend/0.004) + 3*probeWidth
+	if n := ask(OK); n > most || n < 300 {
+		t.Errorf("%d probes for 300 requests, %d may be paid for", n, most)
+	}
+	if n := ask(Overloaded); n > most/3 {
+		t.Errorf("%d probes sent though all are turned away", n)
+	}
+}
+
+// Guards against excluding busy servers where a probe waits its turn like a request.
+func TestSlowProbesAreNoFailures(t *testing.T) {
+	b := newBed(t, probed(1), server3(3)...)
+	for i := 0; i < 50; i++ {
+		b.step(ProbeEnd{Server: "s1", Result: OK, Elapsed: 120})
+		b.step(ProbeEnd{Server: "s0", Result: TimedOut, Elapsed: 300})
+	}
+	if b.l.servers["s0"].excluded {
+		t.Error("excluded for probes that waited")
+	}
+}
+
+// Guards against crossing zones for nothing, and against staying where it would be late.
+func TestCrossingIsPriced(t *testing.T) {
+	set := probed(1)
+	set.Zone, set.CrossZonePrice, set.MayProbe = "here", 0.13, false
+	list := []ServerEntry{{ID: "near", Zone: "here", Size: 1}, {ID: "far", Zone: "there", Size: 1}}
+	crossed := func(hands float64) int {
+		n := 0
+		for i := 0; i < 50; i++ {
+			b := newBed(t, set, list...)
+			b.l.rng.Uint64N(uint64(i + 1))
+			for _, s := range b.l.list {
+				s.seen, s.unit, s.outcomeAt = true, 20, b.now
+			}
+			b.step(ProbeEnd{Server: "near", Result: OK, Load: Load{Valid: true, InFlight: hands}})
+			b.step(ProbeEnd{Server: "far", Result: OK, Load: Load{Valid: true}})
+			if _, acts := b.arrive("read", 2000); sentTo(acts) == "far" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := crossed(0); n > 0 {
+		t.Errorf("%d of 50 crossed though the own zone is idle", n)
+	}
+	if n := crossed(40); n < 50 {
+		t.Errorf("%d of 50 crossed though the own zone is full", n)
+	}
+}
+
+// Guards against losing an excluded server for good where no class is safe to repeat.
+func TestTrialByTheLeastRiskyClass(t *testing.T) {
+	set := settings()
+	set.Classes = set.Classes[1:]
+	b := newBed(t, set, server3(4)...)
+	for i := 0; i < 40; i++ {
+		b.serve("put", 10, allOK)
+	}
+	s := b.l.servers["s0"]
+	s.excluded, s.trialAt = true, b.now
+	for i := 0; i < 40; i++ {
+		b.serve("bill", 10, allOK)
+	}
+	if !s.excluded {
+		t.Fatal("an unsafe request carried the trial though a keyed class is there")
+	}
+	for i := 0; i < 40 && s.excluded; i++ {
+		b.serve("put", 10, allOK)
+	}
+	if s.excluded {
+		t.Error("no trial in 40 keyed requests")
+	}
+}
+
+// exchange gives every message of one node to another.
+func exchange(from int, acts []Action, to *bed) {
+	for _, a := range acts {
+		if m, ok := a.(Tell); ok {
+			to.step(Told{From: from, Body: m.Body})
+		}
+	}
+}
+
+// Guards against many nodes each seeing only its own requests: what one has at a server keeps the others away.
+func TestToldLoadKeepsOthersAway(t *testing.T) {
+	set := probed(2)
+	set.MayProbe = false
+	one := newBed(t, set, server3(2)...)
+	set.Node = 1
+	two := newBed(t, set, server3(2)...)
+	id, acts := one.arrive("read", 2000)
+	busy := sentTo(acts)
+	exchange(0, one.acts, two)
+	if got := two.l.servers[busy].toldLoad(); got != 1 {
+		t.Fatalf("%v requests told of at %s, want 1", got, busy)
+	}
+	one.now += 20
+	one.acts = nil
+	one.end(id, 0, busy, OK, 20)
+	exchange(0, one.acts, two)
+	if got := two.l.servers[busy].toldLoad(); got != 0 {
+		t.Errorf("%v requests at %s after its answer was told of", got, busy)
+	}
+}
+
+// Guards against trusting messages: odd ones are dropped whole, unknown servers passed over, old word forgotten.
+func TestOddMessagesDoNoHarm(t *testing.T) {
+	b := newBed(t, probed(4), server3(3)...)
+	name := b.l.servers["s0"].name
+	entry := []byte{byte(name >> 8), byte(name), 9}
+	for what, body := range map[string][]byte{
+		"empty": {}, "cut short": append([]byte{tellVersion}, entry[:2]...), "other version": append([]byte{0x20}, entry...),
+		"other kind": append([]byte{tellVersion | 7}, entry...), "too long": make([]byte, MessageMost+1),
+		"unknown server": {tellVersion, byte(name>>8) ^ 1, byte(name), 9},
+	} {
+		if b.step(Told{From: 1, Body: body}); b.l.servers["s0"].toldLoad() != 0 {
+			t.Errorf("%s: believed", what)
+		}
+	}
+	b.step(Told{From: 1, Body: append([]byte{tellVersion}, entry...)})
+	b.step(Told{From: 1, Body: append([]byte{tellVersion}, entry...)})
+	if got := b.l.servers["s0"].toldLoad(); got != 9 {
+		t.Errorf("told twice of 9 requests: %v", got)
+	}
+	b.now += 4 * toldOld
+	if b.step(TimerFired{"sweep"}); b.l.hearing() {
+		t.Error("a node long silent is still believed")
+	}
+	b.l.set.Peers = false
+	if b.step(Told{From: 2, Body: append([]byte{tellVersion}, entry...)}); b.l.servers["s0"].toldLoad() != 9 {
+		t.Error("heard where nodes may not talk")
+	}
+}
+
+// Guards against a server that fails at once and so looks empty: a row of failures, or those others tell of, keep
+// requests away though exclusion holds back.
+func TestFailuresArePriced(t *testing.T) {
+	b := newBed(t, probed(2), server3(2)...)
+	s := b.l.servers["s0"]
+	if b.l.badShare(s) != 0 {
+		t.Fatal("bad before any failure")
+	}
+	b.step(Told{From: 1, Body: []byte{tellVersion | byte(tellOutcomes), byte(s.name >> 8), byte(s.name), 10, 30}})
+	if got := b.l.badShare(s); got < 0.3 || s.excluded {
+		t.Errorf("30 of 40 failed at another node: share %.2f, excluded %v", got, s.excluded)
+	}
+	own := b.l.servers["s1"]
+	own.note(b.now, false)
+	own.failures, own.outcomeAt = 3, b.now
+	if got := b.l.badShare(own); got < 0.8 {
+		t.Errorf("three failures in a row: share %.2f", got)
+	}
+}
+
+// Guards against nodes that send one key to different servers, none of which then has it warm.
+func TestAllNodesPreferTheSameHomes(t *testing.T) {
+	set := probed(2)
+	set.WarmKeys = true
+	homes := map[ServerID]int{}
+	for k := 0; k < 60; k++ {
+		r := &request{key: hash(fmt.Sprint("key", k))}
+		first, second := newBed(t, set, server3(12)...).l.homes(r)
+		r.homesAt = 0
+		other, _ := newBed(t, set, server3(12)...).l.homes(&request{key: r.key})
+		if first == second || first.ID != other.ID {
+			t.Fatalf("homes %s and %s, at another node %s", first.ID, second.ID, other.ID)
+		}
+		homes[first.ID]++
+	}
+	if len(homes) < 9 {
+		t.Errorf("60 keys live at %d of 12 servers", len(homes))
+	}
+}
+
+// Guards against taking an unmarked retry for a fresh request with its whole aim ahead.
+func TestUnmarkedRetryKeepsItsAim(t *testing.T) {
+	set := settings()
+	set.MarksRetry = false
+	b := newBed(t, set)
+	b.step(Arrival{ID: 1, Class: "read", Key: "k", Expires: b.now + 2000}) // no server: refused
+	b.now += 300
+	b.l.Step(b.now, ServerList{Form: ListFull, Entries: server3(1)})
+	b.l.unit = 5
+	b.step(Arrival{ID: 2, Class: "read", Key: "k", Expires: b.now + 2000})
+	b.step(Arrival{ID: 3, Class: "read", Key: "k", Expires: b.now + 2000})
+	if second, third := b.l.requests[2], b.l.requests[3]; second.aimAt != b.now+100 || third.aimAt != b.now+400 {
+		t.Errorf("%.0f ms left for the retry, %.0f for the next", second.aimAt-b.now, third.aimAt-b.now)
+	}
+}
+
+// Guards against crowded servers, which slow down for all: neither more than some for each that is worked on, nor any
+// that is late already beside others.
+func TestServersAreNotPacked(t *testing.T) {
+	set := settings()
+	set.Classes[0].LateShare, set.Goal.Tail = 0.5, 0.2
+	b := newBed(t, set, server3(1)...)
+	b.l.unit, b.l.servers["s0"].seen, b.l.servers["s0"].unit = 5, true, 5
+	sent := 0
+	for i := 0; i < 10; i++ {
+		_, acts := b.arrive("read", 2000)
+		sent += count[Send](acts)
+	}
+	if sent != packed {
+		t.Errorf("%d requests sent to a server that works on one at once", sent)
+	}
+	late := &request{class: b.l.classes["read"], cost: 1, expires: b.now + 1500, aimAt: b.now - 1, late: true}
+	if s := b.l.pick(late); s != nil {
+		t.Error("a late request was sent to a busy server")
+	}
+}
