Watch other settings decide, carry messages over UDP, and check each new setting

The configuration's settings take every key that the module reads; impossible ones are named with file, line and key. Talk between nodes is off unless addresses are configured.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,13 +7,17 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 
 	"tackhub.example/tackhub/internal/catalog"
 	"tackhub.example/tackhub/internal/locate"
 	"tackhub.example/tackhub/internal/operator"
 	"tackhub.example/tackhub/internal/settings"
+	"tackhub.example/tackhub/logic"
 )
 
 // Limits are what the node's machine gives it.
@@ -32,6 +36,8 @@
 	Limits    Limits
 	Known     catalog.List
 	Settings  settings.Settings
+	Peers     []netip.AddrPort // of all nodes, by number; none where they do not talk
+	Watch     *logic.Settings  // to be watched beside those in force; nil for none
 }
 
 type file struct {
@@ -42,6 +48,10 @@
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
+	Peers     struct {
+		Nodes []string `json:"nodes"`
+	} `json:"peers"`
+	Watch string `json:"watch"`
 }
 
 // leastSockets are the fewest descriptors with which a node can serve: those it needs for itself, and some on
@@ -145,6 +155,12 @@
 			fault("settings."+e.Key, "settings", "%v", e)
 		}
 	}
+	c.Peers = f.peers(c.Settings.Logic, fault)
+	if f.Watch != "" {
+		var wrong []operator.Fault
+		c.Watch, wrong = watched(path, f.Watch)
+		faults = append(faults, wrong...)
+	}
 	if len(f.Known) > 0 {
 		if c.Known, err = catalog.ParseList(f.Known); err != nil {
 			fault("known", "known", "%v", err)
@@ -153,6 +169,61 @@
 	return c, faults
 }
 
+// peers are the nodes' addresses, needed where the settings let nodes talk.
+func (f *file) peers(set logic.Settings, fault func(at, key, format string, args ...any)) []netip.AddrPort {
+	if !set.Peers && len(f.Peers.Nodes) == 0 {
+		return nil
+	}
+	switch n := len(f.Peers.Nodes); {
+	case n == 0:
+		fault("settings.policy_limits.peers", "settings.policy_limits.peers", "nodes may talk, but peers.nodes names no addresses")
+		return nil
+	case set.Nodes > 0 && n != set.Nodes:
+		fault("peers.nodes", "peers.nodes", "%d addresses for %d nodes", n, set.Nodes)
+		return nil
+	case set.Node < 0 || set.Node >= n:
+		fault("settings.me", "settings.me", "node %d is none of %d", set.Node, n)
+		return nil
+	}
+	var out []netip.AddrPort
+	for i, text := range f.Peers.Nodes {
+		a, err := netip.ParseAddrPort(text)
+		if key := fmt.Sprintf("peers.nodes[%d]", i); err != nil || a.Port() == 0 || slices.Contains(out, a) {
+			fault(key, key, "%q is no address and port of a node's own", text)
+			return nil
+		}
+		out = append(out, a)
+	}
+	if !set.Peers {
+		return nil // named ahead of the settings that will use them
+	}
+	return out
+}
+
+// watched reads the settings to be watched; the path is taken from where the configuration stands.
+func watched(config, path string) (*logic.Settings, []operator.Fault) {
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(filepath.Dir(config), path)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []operator.Fault{{File: config, Key: "watch", Text: err.Error()}}
+	}
+	lines := locate.JSON(raw)
+	set, err := settings.Parse(raw)
+	if err != nil {
+		var out []operator.Fault
+		for _, e := range settings.All(err) {
+			out = append(out, operator.Fault{File: path, Line: lines.Of(e.Key), Key: e.Key, Text: e.Text})
+		}
+		return nil, out
+	}
+	if _, err := logic.New(set.Logic, 0); err != nil {
+		return nil, []operator.Fault{{File: path, Key: "watch", Text: err.Error()}}
+	}
+	return &set.Logic, nil
+}
+
 // faults are the limits with which no node can run.
 func (l Limits) faults() []operator.Fault {
 	var out []operator.Fault
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"reflect"
+	"slices"
 
 	"tackhub.example/tackhub/internal/locate"
 )
@@ -39,6 +40,7 @@
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
 		{"limits", c.Limits == next.Limits},
+		{"peers", slices.Equal(c.Peers, next.Peers)},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
 	} {
 		if !k.same {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -80,6 +80,21 @@
 	Junk        Count `json:"junk"`
 }
 
+// Peers are the counts of messages between nodes.
+type Peers struct {
+	Sent  Count `json:"sent"`  // datagrams, one for each node told
+	Taken Count `json:"taken"` // handed to the module
+	Drops Group `json:"drops"` // not sent or not taken, by reason
+}
+
+// Watch are the counts of decisions that other settings would have made otherwise.
+type Watch struct {
+	Steps  Count `json:"steps"`  // steps of the module that were compared
+	Differ Group `json:"differ"` // differences by kind, each once for a request
+	Faults Count `json:"faults"` // steps that the other settings could not decide
+	Micros Count `json:"micros"` // time spent on it, in microseconds
+}
+
 // Counters are all counts of one node.
 type Counters struct {
 	Requests struct {
@@ -137,6 +152,8 @@
 		Saves        Count `json:"saves"`
 		SaveFailures Count `json:"save_failures"`
 	} `json:"inventory"`
+	Peers    Peers    `json:"peers"`        // all 0 where nodes do not talk
+	Watch    Watch    `json:"watch"`        // all 0 where no other settings are watched
 	CoapBack CoapBack `json:"coap_servers"` // all 0 where no server speaks it
 	Coap     Coap     `json:"coap"`         // of the subsystem; all 0 where it is off
 	Engine   struct {
--- a/internal/engine/carry.go
+++ b/internal/engine/carry.go
@@ -31,6 +31,10 @@
 		e.prober.Probe(a.Server, func(end End) { e.post(message{server: a.Server, end: &end}) })
 	case logic.Watch:
 		e.watcher.Watch()
+	case logic.Tell:
+		if e.teller != nil {
+			e.teller.Tell(a.Body)
+		}
 	case logic.Log:
 		e.log.Info(a.Text, "code", "module")
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -70,6 +70,9 @@
 // Watcher follows the list of servers from now on. It does not wait.
 type Watcher interface{ Watch() }
 
+// Teller passes a message on to the other nodes. It does not wait.
+type Teller interface{ Tell(body []byte) }
+
 // Engine drives the module.
 type Engine struct {
 	module  Module
@@ -80,6 +83,7 @@
 	nextID  logic.RequestID
 	prober  Prober
 	watcher Watcher
+	teller  Teller
 	most    int // attempts a request may have
 	log     *slog.Logger
 	count   *counters.Counters
@@ -115,6 +119,7 @@
 	end     *End
 	server  logic.ServerID // with end: a probe's
 	list    *logic.ServerList
+	told    *logic.Told
 }
 
 // Options are what an engine works with.
@@ -123,6 +128,7 @@
 	Clock       clock.Clock
 	Prober      Prober
 	Watcher     Watcher
+	Teller      Teller // nil where nodes do not talk
 	MaxAttempts int
 	Log         *slog.Logger
 	Count       *counters.Counters
@@ -131,7 +137,7 @@
 // New makes an engine; Run starts it.
 func New(o Options) *Engine {
 	return &Engine{module: o.Module, clock: o.Clock, mailbox: make(chan message, mailboxLen),
-		live: map[logic.RequestID]*call{}, prober: o.Prober, watcher: o.Watcher, most: o.MaxAttempts,
+		live: map[logic.RequestID]*call{}, prober: o.Prober, watcher: o.Watcher, teller: o.Teller, most: o.MaxAttempts,
 		log: o.Log, count: o.Count, stopped: make(chan struct{})}
 }
 
@@ -154,6 +160,9 @@
 // ListNews tells the module of the list.
 func (e *Engine) ListNews(l logic.ServerList) { e.post(message{list: &l}) }
 
+// Hear tells the module what another node told.
+func (e *Engine) Hear(m logic.Told) { e.post(message{told: &m}) }
+
 func (e *Engine) post(m message) {
 	select {
 	case e.mailbox <- m:
@@ -236,6 +245,8 @@
 		e.ended(m.attempt, *m.end)
 	case m.list != nil:
 		e.step(*m.list)
+	case m.told != nil:
+		e.step(*m.told)
 	case m.end != nil:
 		e.count.Probes.Open.Add(-1)
 		e.count.ProbeOutcomes.Inc(ResultName(m.end.Result))
--- a/internal/node/check.go
+++ b/internal/node/check.go
@@ -58,6 +58,8 @@
 		say("class     %-16s %-6s aim %v ms, hard limit %v ms, worth %v", k.Name, effectName(k), k.Aim, k.HardLimit, k.Worth)
 	}
 	say("tenants   %d", len(set.Tenants))
+	say("peers     %s", onOff(len(c.Peers) > 0, fmt.Sprintf("%d nodes", len(c.Peers))))
+	say("watch     %s", onOff(c.Watch != nil, "other settings are watched"))
 	if file == nil {
 		say("edge      no operator file")
 	} else {
@@ -73,6 +75,13 @@
 	}
 }
 
+func onOff(on bool, what string) string {
+	if on {
+		return what
+	}
+	return "off"
+}
+
 func effectName(c logic.Class) string {
 	return map[logic.Effect]string{logic.Safe: "safe", logic.Keyed: "keyed", logic.Unsafe: "unsafe"}[c.Effect]
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,8 +19,10 @@
 	"tackhub.example/tackhub/internal/exchange"
 	"tackhub.example/tackhub/internal/ingress"
 	"tackhub.example/tackhub/internal/part"
+	"tackhub.example/tackhub/internal/peers"
 	"tackhub.example/tackhub/internal/roster"
 	"tackhub.example/tackhub/internal/upstream"
+	"tackhub.example/tackhub/internal/watch"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -58,6 +60,8 @@
 	catalog *catalog.Catalog
 	pool    *upstream.Pool
 	engine  *engine.Engine
+	watch   *watch.Watch // around the module
+	peers   *peers.Link  // nil where nodes do not talk
 	ingress *ingress.Server
 	ending  sync.WaitGroup
 
@@ -78,10 +82,19 @@
 	n.roster = roster.New(n.catalog, lateNews{n})
 	n.pool = upstream.New(upstream.Options{Addresses: n.roster, Connect: clock.Span(connect(set)),
 		Idle: clock.Span(c.Settings.ConnIdle), Probe: probeTime, Most: each, Each: max(4, int(float64(each)*eachShare)),
-		Reports: set.Reports, Log: log, Count: count})
+		Reports: set.Reports, Waiting: c.Settings.WaitingAt >= 0, Log: log, Count: count})
 	n.back = back.New(back.Options{Addresses: n.roster, NStart: nstart, Again: clock.Span(set.DrainGrace / 2),
 		ParseLoad: n.pool.Load, Log: log, Count: &count.CoapBack})
-	n.engine = engine.New(engine.Options{Module: module, Clock: clk, Prober: n, Watcher: n.catalog,
+	n.watch = watch.New(module, c.Watch, &count.Watch)
+	var teller engine.Teller
+	if len(c.Peers) > 0 {
+		n.peers, err = peers.Listen(peers.Options{Node: set.Node, Nodes: c.Peers, To: lateNews{n}, Log: log, Count: &count.Peers})
+		if err != nil {
+			return nil, err
+		}
+		teller = n.peers
+	}
+	n.engine = engine.New(engine.Options{Module: n.watch, Clock: clk, Prober: n, Watcher: n.catalog, Teller: teller,
 		MaxAttempts: set.MaxAttempts, Log: log, Count: count})
 	n.classes = set.Classes
 	n.desk = exchange.NewDesk(exchange.Options{Router: n.engine, Send: n.send, Clock: clk, Classes: set.Classes,
@@ -112,10 +125,16 @@
 // ListNews tells the module.
 func (l lateNews) ListNews(list logic.ServerList) { l.n.engine.ListNews(list) }
 
+// Hear tells the module.
+func (l lateNews) Hear(m logic.Told) { l.n.engine.Hear(m) }
+
 // start sets the engine and the pool going.
 func (n *node) start(ctx context.Context) {
 	n.ending.Go(func() { n.engine.Run(ctx) })
 	n.ending.Go(func() { n.pool.Run(ctx) })
+	if n.peers != nil {
+		n.ending.Go(func() { n.peers.Run(ctx) })
+	}
 }
 
 // follow begins to follow discovery. The subsystems stand by then: one that merges lists gets the first one too.
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -39,6 +39,7 @@
 		log.Warn("these keys have changed and need a restart", "code", "reload_restart", "keys", keys)
 	}
 	n.catalog.Follow(next.Discovery)
+	n.watch.Follow(next.Watch)
 	log.Info("configuration read again", "code", "reload", "discovery", next.Discovery)
 }
 
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,149 @@
+// Package peers carries the module's short messages between nodes as UDP datagrams. A message that is lost, late or double
+// does no harm, so nothing is sent again and nobody waits.
+package peers
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/logic"
+)
+
+const (
+	// headLen is the sender's number before the body.
+	headLen = 4
+
+	// queueLen bounds the messages that wait to be written: some tenths of a second at the highest rate. The
+	// engine never waits for them.
+	queueLen = 64
+
+	// mostPerSecond is how many messages are taken of all nodes together in a second. A hundred nodes tell some ten
+	// times a second each; what is more is a fault, and the newest of a second can do without it.
+	mostPerSecond = 5000
+)
+
+// Hearer takes what other nodes tell.
+type Hearer interface{ Hear(logic.Told) }
+
+// Options are what the link works with.
+type Options struct {
+	Node  int              // this node's number
+	Nodes []netip.AddrPort // all nodes' addresses, by number; this node listens on its own
+	To    Hearer
+	Log   *slog.Logger
+	Count *counters.Peers
+}
+
+// Link is one node's side.
+type Link struct {
+	o       Options
+	conn    *net.UDPConn
+	out     chan []byte
+	numbers map[netip.AddrPort]int
+}
+
+// Listen opens the node's own address.
+func Listen(o Options) (*Link, error) {
+	l := &Link{o: o, out: make(chan []byte, queueLen), numbers: map[netip.AddrPort]int{}}
+	for i, a := range o.Nodes {
+		l.numbers[a] = i
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.Nodes[o.Node]))
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	l.conn = conn
+	return l, nil
+}
+
+// Tell sends every other node a message. It never waits: what does not fit the queue is dropped and counted.
+func (l *Link) Tell(body []byte) {
+	if len(body) > logic.MessageMost {
+		l.o.Count.Drops.Inc("too_long")
+		return
+	}
+	select {
+	case l.out <- body:
+	default:
+		l.o.Count.Drops.Inc("queue_full")
+	}
+}
+
+// Run sends and takes in until the context ends.
+func (l *Link) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.read(ctx)
+	}()
+	for {
+		select {
+		case body := <-l.out:
+			l.write(body)
+		case <-ctx.Done():
+			_ = l.conn.Close() // the reader returns
+			<-done
+			return
+		}
+	}
+}
+
+func (l *Link) write(body []byte) {
+	message := append(binary.BigEndian.AppendUint32(nil, uint32(l.o.Node)), body...)
+	for i, to := range l.o.Nodes {
+		if i == l.o.Node {
+			continue
+		}
+		if _, err := l.conn.WriteToUDPAddrPort(message, to); err != nil {
+			l.o.Count.Drops.Inc("write")
+			continue
+		}
+		l.o.Count.Sent.Inc()
+	}
+}
+
+func (l *Link) read(ctx context.Context) {
+	buffer := make([]byte, headLen+logic.MessageMost+1)
+	second, taken := time.Time{}, 0
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.o.Count.Drops.Inc("read") // such as a peer's port that is closed: it concerns one datagram
+			continue
+		}
+		if now := time.Now(); now.Sub(second) >= time.Second {
+			second, taken = now, 0
+		}
+		if taken++; taken > mostPerSecond {
+			l.o.Count.Drops.Inc("rate")
+			continue
+		}
+		l.take(buffer[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+// take passes on what comes from a node's own address under its own number.
+func (l *Link) take(message []byte, from netip.AddrPort) {
+	number, known := l.numbers[from]
+	switch {
+	case !known || number == l.o.Node:
+		l.o.Count.Drops.Inc("stranger")
+	case len(message) <= headLen || len(message) > headLen+logic.MessageMost:
+		l.o.Count.Drops.Inc("size")
+	case binary.BigEndian.Uint32(message) != uint32(number):
+		l.o.Count.Drops.Inc("number")
+	default:
+		l.o.Count.Taken.Inc()
+		l.o.To.Hear(logic.Told{From: number, Body: append([]byte(nil), message[headLen:]...)})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 		WorstTenant float64  `json:"worst_tenant"`
 		WorstWindow float64  `json:"worst_window"`
 		Tail        float64  `json:"tail"`
+		MissAllowed *float64 `json:"miss_allowed"`
 		Nines       float64  `json:"log_loss_part"`
 		NinesWanted *float64 `json:"nines_wanted"`
 	} `json:"goal"`
@@ -134,7 +135,7 @@
 	if err := json.Unmarshal(raw, &o); err != nil {
 		return Settings{}, fmt.Errorf("options: %w", err)
 	}
-	if wrong := append(required(&o), classes(&o)...); len(wrong) > 0 {
+	if wrong := slices.Concat(required(&o), classes(&o), ranges(&o)); len(wrong) > 0 {
 		return Settings{}, wrong
 	}
 	set := decisions(&o)
@@ -213,3 +214,47 @@
 	}
 	return out
 }
+
+// reportForms are where load reports come along; empty stands for a file that names none.
+var reportForms = []string{"", "answers", "probe", "none"}
+
+// ranges names every figure that cannot be. What is missing is as it was before the key was known.
+func ranges(o *options) faults {
+	var out faults
+	fault := func(key, format string, args ...any) {
+		out = append(out, Fault{key, key + ": " + fmt.Sprintf(format, args...)})
+	}
+	if !slices.Contains(reportForms, o.Report.How) {
+		fault("report.how", "%q is not known", o.Report.How)
+	}
+	if n := o.Goal.NinesWanted; n != nil && !(*n > 0) {
+		fault("goal.nines_wanted", "%v nines cannot be wanted, they must be over 0", *n)
+	}
+	if m := o.Goal.MissAllowed; m != nil && !(*m >= 0 && *m <= 1) {
+		fault("goal.miss_allowed", "%v is not a share from 0 to 1", *m)
+	}
+	for _, k := range []figure{{"goal.log_loss_part", o.Goal.Nines}, {"goal.tail", o.Goal.Tail}} {
+		if !(k.value >= 0 && k.value <= 1) {
+			fault(k.key, "%v is not a share from 0 to 1", k.value)
+		}
+	}
+	for i, c := range o.Classes {
+		if !(c.LateShare >= 0 && c.LateShare <= 1) {
+			out = append(out, Fault{fmt.Sprintf("classes[%d].late_share", i),
+				fmt.Sprintf("classes[%s].late_share: %v is not a share from 0 to 1", c.Name, c.LateShare)})
+		}
+	}
+	for _, k := range []figure{{"prices.cross_zone", o.Prices.CrossZone}, {"prices.peer", o.Prices.Peer},
+		{"prices.probe", o.Prices.Probe}, {"policy_limits.cpu_us_per_request", o.Limits.CPUPerRequest}} {
+		if k.value < 0 {
+			fault(k.key, "%v is under 0", k.value)
+		}
+	}
+	return out
+}
+
+// figure is a number and where it stands.
+type figure struct {
+	key   string
+	value float64
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,3 +50,34 @@
 		t.Errorf("without reports: %+v %v", s, err)
 	}
 }
+
+func TestNewKeysAreReadAndChecked(t *testing.T) {
+	with := func(old, new string) (Settings, error) { return Parse([]byte(strings.Replace(good, old, new, 1))) }
+	s, err := with(`"goal":{"whole":1}`, `"goal":{"whole":1,"log_loss_part":0.2,"nines_wanted":2},
+ "family_info":{"warm_keys":true},"prices":{"cross_zone":0.13,"peer":0.01,"probe":0.008}`)
+	if l := s.Logic; err != nil || l.Goal.Nines != 0.2 || !l.WarmKeys || l.CrossZonePrice != 0.13 || l.PeerPrice != 0.01 ||
+		l.ProbePrice != 0.008 || l.ProbedOnly || l.Peers || l.CPUPerRequest != 0 {
+		t.Errorf("read %+v, %v", l, err)
+	}
+	s, err = with(`"probes":true}`, `"probes":true,"peers":true,"cpu_us_per_request":10}`)
+	if err != nil || !s.Logic.Peers || s.Logic.CPUPerRequest != 10 || s.WaitingAt != 0 {
+		t.Errorf("read %+v, %v", s, err)
+	}
+	if s, err = with(`"how":"answers"`, `"how":"probe"`); err != nil || !s.Logic.ProbedOnly || !s.Logic.Reports {
+		t.Errorf("read %+v, %v", s.Logic, err)
+	}
+	for key, change := range map[string][2]string{
+		"goal.nines_wanted":     {`"whole":1}`, `"whole":1,"nines_wanted":0}`},
+		"goal.log_loss_part":    {`"whole":1}`, `"whole":1,"log_loss_part":1.5}`},
+		"goal.miss_allowed":     {`"whole":1}`, `"whole":1,"miss_allowed":-1}`},
+		"report.how":            {`"how":"answers"`, `"how":"letters"`},
+		"classes[0].late_share": {`"worth":1}`, `"worth":1,"late_share":2}`},
+		"prices.peer":           {`"zone":"a"`, `"zone":"a","prices":{"peer":-1}`},
+		"policy_limits.cpu_us":  {`"probes":true}`, `"probes":true,"cpu_us_per_request":-1}`},
+	} {
+		_, err := with(change[0], change[1])
+		if err == nil || !strings.HasPrefix(All(err)[0].Key, key) {
+			t.Errorf("%s: error %v", key, err)
+		}
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,6 +34,7 @@
 	Most      int           // connections in all
 	Each      int           // connections to one server
 	Reports   bool          // servers report their load
+	Waiting   bool          // ... with the requests that wait
 	Log       *slog.Logger
 	Count     *counters.Counters
 }
--- a/internal/upstream/report.go
+++ b/internal/upstream/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 
 	"tackhub.example/tackhub/logic"
@@ -16,6 +17,9 @@
 // "concurrent"; the servers' own format says "inflight".
 var inFlightNames = [][]byte{[]byte("inflight"), []byte("concurrent")}
 
+// waitingNames are those of the requests that wait, "depth" in the settings.
+var waitingNames = [][]byte{[]byte("queue"), []byte("depth")}
+
 // Load reads a report that came by another protocol.
 func (p *Pool) Load(text []byte) logic.Load { return p.load(text, false) }
 
@@ -27,21 +31,28 @@
 	}
 	if n, ok := parseLoad(text); ok {
 		p.o.Count.Reports.Read.Inc()
-		return logic.Load{Valid: true, InFlight: n}
+		load := logic.Load{Valid: true, InFlight: n}
+		if p.o.Waiting {
+			load.Waiting, load.Queued = figure(text, waitingNames)
+		}
+		return load
 	}
 	p.o.Count.Reports.Unknown.Inc()
 	return logic.Load{}
 }
 
 // parseLoad finds the requests in flight.
-func parseLoad(text []byte) (float64, bool) {
+func parseLoad(text []byte) (float64, bool) { return figure(text, inFlightNames) }
+
+// figure finds the first value that stands under one of the names.
+func figure(text []byte, names [][]byte) (float64, bool) {
 	text = bytes.TrimSpace(text)
 	if word, rest, found := bytes.Cut(text, []byte(" ")); found && !bytes.ContainsRune(word, '=') {
 		text = rest
 	}
 	for pair := range bytes.SplitSeq(text, []byte(",")) {
 		name, value, _ := bytes.Cut(pair, []byte("="))
-		if !known(bytes.TrimSpace(name)) {
+		if !slices.ContainsFunc(names, func(n []byte) bool { return bytes.EqualFold(n, bytes.TrimSpace(name)) }) {
 			continue
 		}
 		n, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64)
@@ -49,12 +60,3 @@
 	}
 	return 0, false
 }
-
-func known(name []byte) bool {
-	for _, n := range inFlightNames {
-		if bytes.EqualFold(name, n) {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,194 @@
+// Package watch asks, at each step of the decision module, what other settings would have decided on the same state, and
+// counts where that differs. The module itself decides as if nobody watched.
+package watch
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/logic"
+)
+
+// seenMost bounds the requests remembered. A node holds far fewer at a time; beyond it some are counted twice.
+const seenMost = 1 << 16
+
+// Kinds of difference: what the settings watched would have done.
+const (
+	OtherServer      = "other_server"       // sent to another server of the same zone
+	OtherZone        = "other_zone"         // sent to a server of another zone
+	Held             = "held"               // held what was sent, refused or failed
+	Refused          = "refused"            // refused what was sent, held or failed
+	Failed           = "failed"             // failed what was sent, held or refused
+	Sent             = "sent"               // sent what was held, refused or failed
+	FurtherAttempt   = "further_attempt"    // tried again what was not
+	NoFurtherAttempt = "no_further_attempt" // not tried again what was
+	RetryAfter       = "retry_after"        // told the client another time to come back
+	Withdrawal       = "withdrawal"         // withdrawn other attempts
+	Probe            = "probe"              // asked other servers for their load
+	Message          = "message"            // told the other nodes something else, or nothing
+)
+
+var kinds = []string{OtherServer, OtherZone, Held, Refused, Failed, Sent, FurtherAttempt, NoFurtherAttempt, RetryAfter,
+	Withdrawal, Probe, Message}
+
+// Watch is a module that decides by its own settings and counts what others would have done.
+type Watch struct {
+	module *logic.Logic
+	other  atomic.Pointer[logic.Settings]
+	count  *counters.Watch
+	seen   map[logic.RequestID]uint // kinds counted, a bit each: one that is held is decided on again and again
+}
+
+// New watches a module; with no settings to watch it only passes on.
+func New(module *logic.Logic, other *logic.Settings, count *counters.Watch) *Watch {
+	w := &Watch{module: module, count: count, seen: map[logic.RequestID]uint{}}
+	w.other.Store(other)
+	return w
+}
+
+// Follow watches other settings from the next step on; none where nil.
+func (w *Watch) Follow(other *logic.Settings) { w.other.Store(other) }
+
+// Step lets the module decide.
+func (w *Watch) Step(now logic.Millis, event logic.Event) []logic.Action {
+	set := w.other.Load()
+	if set == nil {
+		return w.module.Step(now, event)
+	}
+	began := time.Now()
+	would := w.ask(*set, now, event) // first: the module's step changes the state
+	spent := time.Since(began)
+	actions := w.module.Step(now, event)
+	if would != nil {
+		w.compare(event, actions, would)
+	}
+	w.count.Micros.Add(spent.Microseconds())
+	return actions
+}
+
+// ask lets a copy of the module decide; nil where it cannot. A fault there is none of the node's.
+func (w *Watch) ask(set logic.Settings, now logic.Millis, event logic.Event) (would []logic.Action) {
+	defer func() {
+		if recover() != nil {
+			w.count.Faults.Inc()
+			would = nil
+		}
+	}()
+	c, err := w.module.Clone(set)
+	if err != nil {
+		w.count.Faults.Inc()
+		return nil
+	}
+	return append([]logic.Action{}, c.Step(now, event)...)
+}
+
+// verdict is what became of a request in one step.
+type verdict struct {
+	kind   string // Sent, Refused, Failed, or empty: nothing
+	server logic.ServerID
+	after  logic.Millis
+}
+
+// plan is one step's actions, sorted out.
+type plan struct {
+	requests  map[logic.RequestID]verdict
+	probes    []logic.ServerID
+	cancelled []logic.Cancel
+	messages  []string
+}
+
+func sortOut(actions []logic.Action) plan {
+	p := plan{requests: map[logic.RequestID]verdict{}}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case logic.Send:
+			p.requests[a.ID] = verdict{kind: Sent, server: a.Server}
+		case logic.Refuse:
+			p.requests[a.ID] = verdict{kind: Refused, after: a.RetryAfter}
+		case logic.Fail:
+			p.requests[a.ID] = verdict{kind: Failed}
+		case logic.Probe:
+			p.probes = append(p.probes, a.Server)
+		case logic.Cancel:
+			p.cancelled = append(p.cancelled, a)
+		case logic.Tell:
+			p.messages = append(p.messages, string(a.Body))
+		}
+	}
+	slices.Sort(p.probes)
+	return p
+}
+
+func (w *Watch) compare(event logic.Event, actions, would []logic.Action) {
+	w.count.Steps.Inc()
+	did, other := sortOut(actions), sortOut(would)
+	tried := logic.RequestID(0)
+	if e, ok := event.(logic.AttemptEnd); ok {
+		tried = e.ID
+	}
+	for id, v := range other.requests {
+		w.differ(id, difference(did.requests[id], v, id == tried, w.module.Zone))
+	}
+	for id, v := range did.requests {
+		if _, both := other.requests[id]; !both {
+			w.differ(id, difference(v, verdict{}, id == tried, w.module.Zone))
+		}
+		if v.kind != Sent {
+			delete(w.seen, id)
+		}
+	}
+	for kind, differs := range map[string]bool{Probe: !slices.Equal(did.probes, other.probes),
+		Withdrawal: !slices.Equal(did.cancelled, other.cancelled), Message: !slices.Equal(did.messages, other.messages)} {
+		if differs {
+			w.count.Differ.Inc(kind)
+		}
+	}
+	switch e := event.(type) {
+	case logic.AttemptEnd:
+		if e.Closed {
+			delete(w.seen, e.ID)
+		}
+	case logic.Dropped:
+		delete(w.seen, e.ID)
+	}
+}
+
+// difference names what the other settings would have done instead; empty where they agree.
+func difference(did, would verdict, tried bool, zone func(logic.ServerID) string) string {
+	switch {
+	case did == would:
+		return ""
+	case did.kind == Sent && would.kind == Sent:
+		if zone(did.server) != zone(would.server) {
+			return OtherZone
+		}
+		return OtherServer
+	case did.kind == would.kind:
+		return RetryAfter
+	case tried && would.kind == Sent:
+		return FurtherAttempt
+	case tried && did.kind == Sent:
+		return NoFurtherAttempt
+	case would.kind == "":
+		return Held
+	}
+	return would.kind
+}
+
+// differ counts a difference once for each request.
+func (w *Watch) differ(id logic.RequestID, kind string) {
+	if kind == "" {
+		return
+	}
+	bit := uint(1) << slices.Index(kinds, kind)
+	if w.seen[id]&bit != 0 {
+		return
+	}
+	if len(w.seen) >= seenMost {
+		clear(w.seen)
+	}
+	w.seen[id] |= bit
+	w.count.Differ.Inc(kind)
+}
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,186 @@
+package watch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/logic"
+)
+
+func settings() logic.Settings {
+	return logic.Settings{Nodes: 4, Zone: "a", MarksRetry: true, Goal: logic.Goal{Whole: 1}, OverShare: 0.1,
+		Classes: []logic.Class{
+			{Name: "read", Effect: logic.Safe, Aim: 400, HardLimit: 2000, Worth: 1},
+			{Name: "put", Effect: logic.Keyed, Group: logic.GroupCell, Window: 1000, Aim: 400, HardLimit: 2000, Worth: 1},
+			{Name: "bill", Effect: logic.Unsafe, Aim: 400, HardLimit: 2000, Worth: 5}},
+		Reports: true, ProbedOnly: true, MayProbe: true, Peers: true, ProbePrice: 0.002, PeerPrice: 0.001,
+		DrainGrace: 1000, ColdFrom: 0.25, ColdFor: 5000, FallMultiple: 3, FallFor: 2000, MaxAttempts: 3, MayCancel: true,
+		RetryAfter: true, MaxRetryAfter: 2000, Tick: 1}
+}
+
+type module interface {
+	Step(logic.Millis, logic.Event) []logic.Action
+}
+
+type out struct {
+	id     logic.RequestID
+	n      int
+	server logic.ServerID
+	at     logic.Millis
+}
+
+// play drives a module through a run with failures, crowding, lost attempts, probes and messages, the same each time, and
+// gives the stream of its actions.
+func play(m module, steps int) []logic.Action {
+	rng := rand.New(rand.NewPCG(5, 6))
+	var all []logic.Action
+	var open []out
+	sent := map[logic.RequestID]int{}
+	now := 1000.0
+	step := func(e logic.Event) {
+		queue := []logic.Event{e}
+		for len(queue) > 0 {
+			acts := m.Step(now, queue[0])
+			queue = queue[1:]
+			for _, a := range acts {
+				all = append(all, a)
+				switch a := a.(type) {
+				case logic.Send:
+					open = append(open, out{a.ID, sent[a.ID], a.Server, now})
+					sent[a.ID]++
+				case logic.Cancel:
+					for i, o := range open {
+						if o.id == a.ID && o.n == a.Attempt {
+							open = append(open[:i], open[i+1:]...)
+							queue = append(queue, logic.AttemptEnd{ID: o.id, Attempt: o.n, Server: o.server,
+								Result: logic.Cancelled, Elapsed: now - o.at})
+							break
+						}
+					}
+				case logic.Probe:
+					queue = append(queue, logic.ProbeEnd{Server: a.Server, Result: logic.OK, Elapsed: 1, Load: logic.Load{
+						Valid: true, InFlight: float64(rng.IntN(4)), Queued: true, Waiting: float64(rng.IntN(3))}})
+				}
+			}
+		}
+	}
+	list := logic.ServerList{Form: logic.ListCached}
+	for i := range 9 {
+		list.Entries = append(list.Entries, logic.ServerEntry{ID: logic.ServerID(fmt.Sprint("s", i)), Zone: []string{"a", "b"}[i%2],
+			Cell: i % 3, Size: 1})
+	}
+	step(list)
+	for i := range steps {
+		now += rng.Float64() * 12
+		switch k := rng.IntN(10); {
+		case k < 4:
+			id := logic.RequestID(i + 1)
+			step(logic.Arrival{ID: id, Class: []string{"read", "put", "bill"}[rng.IntN(3)], Key: fmt.Sprint(rng.IntN(40)),
+				Retry: rng.IntN(9) == 0, Expires: now + 300 + 1500*rng.Float64()})
+		case k < 8 && len(open) > 0:
+			j := rng.IntN(len(open))
+			o := open[j]
+			open = append(open[:j], open[j+1:]...)
+			result := logic.OK
+			if rng.IntN(4) == 0 {
+				result = []logic.Result{logic.Errored, logic.Overloaded, logic.Unreachable, logic.Broken}[rng.IntN(4)]
+			}
+			step(logic.AttemptEnd{ID: o.id, Attempt: o.n, Server: o.server, Result: result, Elapsed: now - o.at,
+				Closed: result == logic.OK})
+		case k == 8:
+			step(logic.Told{From: 1 + rng.IntN(3), Body: []byte{0x10}})
+		default:
+			step(logic.TimerFired{Token: []string{"sweep", "probes"}[rng.IntN(2)]})
+		}
+	}
+	return all
+}
+
+func newModule(t testing.TB, set logic.Settings) *logic.Logic {
+	t.Helper()
+	l, err := logic.New(set, 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// The same settings on both sides count nothing, and watching any leaves the stream of actions as it is, chance included.
+func TestWatchingChangesNothing(t *testing.T) {
+	const steps = 6000
+	alone := play(newModule(t, settings()), steps)
+	if len(alone) < steps {
+		t.Fatalf("only %d actions in %d steps", len(alone), steps)
+	}
+	same, other := settings(), settings()
+	other.MayProbe, other.Classes[0].Effect, other.CrossZonePrice = false, logic.Unsafe, 0.5
+	for name, set := range map[string]*logic.Settings{"the same": &same, "others": &other, "none": nil} {
+		count := &counters.Watch{}
+		if got := play(New(newModule(t, settings()), set, count), steps); !reflect.DeepEqual(got, alone) {
+			t.Errorf("%s watched: another stream of actions", name)
+		}
+		differ, _ := count.Differ.MarshalJSON()
+		if name == "the same" && (string(differ) != "{}" || count.Steps.Get() < steps) {
+			t.Errorf("the same settings differ: %s in %d steps", differ, count.Steps.Get())
+		}
+		if name == "others" && string(differ) == "{}" || count.Faults.Get() != 0 {
+			t.Errorf("%s: counted %s, %d faults", name, differ, count.Faults.Get())
+		}
+	}
+}
+
+func TestEachKindIsCounted(t *testing.T) {
+	for kind, change := range map[string]func(base, other *logic.Settings){
+		OtherZone:        func(_, o *logic.Settings) { o.CrossZonePrice = 0.3 },
+		OtherServer:      func(_, o *logic.Settings) { o.WarmKeys = true },
+		Probe:            func(_, o *logic.Settings) { o.MayProbe = false },
+		Message:          func(_, o *logic.Settings) { o.Peers = false },
+		RetryAfter:       func(_, o *logic.Settings) { o.RetryAfter = false },
+		FurtherAttempt:   func(b, _ *logic.Settings) { b.MaxAttempts = 1 },
+		NoFurtherAttempt: func(_, o *logic.Settings) { o.MaxAttempts = 1 },
+		Failed:           func(_, o *logic.Settings) { o.Classes[0].Effect = logic.Unsafe },
+		Withdrawal:       func(b, _ *logic.Settings) { b.MayCancel = false },
+		Refused:          func(_, o *logic.Settings) { o.Classes[0].Aim = 30 },
+		Sent:             func(b, _ *logic.Settings) { b.Classes[0].Aim = 30 },
+		Held:             func(b, _ *logic.Settings) { b.MayProbe = false },
+	} {
+		base, other, count := settings(), settings(), &counters.Watch{}
+		if change(&base, &other); kind == Refused || kind == Sent {
+			base.Classes, other.Classes = append([]logic.Class{}, base.Classes...), append([]logic.Class{}, other.Classes...)
+		}
+		play(New(newModule(t, base), &other, count), 6000)
+		if count.Differ.Get(kind) == 0 {
+			all, _ := count.Differ.MarshalJSON()
+			t.Errorf("%s never counted, only %s", kind, all)
+		}
+	}
+}
+
+// Guards against a class that the settings watched do not name, and against following others in mid-run.
+func TestOtherClassesAndAChange(t *testing.T) {
+	other, count := settings(), &counters.Watch{}
+	other.Classes = other.Classes[1:]
+	w := New(newModule(t, settings()), nil, count)
+	play(w, 500)
+	if count.Steps.Get() != 0 {
+		t.Error("compared with nothing to watch")
+	}
+	w.Follow(&other)
+	play(w, 500)
+	if count.Steps.Get() == 0 || count.Faults.Get() != 0 || count.Differ.Get(Refused) == 0 {
+		t.Errorf("%d steps, %d faults, %d refused", count.Steps.Get(), count.Faults.Get(), count.Differ.Get(Refused))
+	}
+}
+
+func BenchmarkWatch(b *testing.B) {
+	same := settings()
+	for name, set := range map[string]*logic.Settings{"off": nil, "on": &same} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			play(New(newModule(b, settings()), set, &counters.Watch{}), b.N)
+		})
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -92,7 +92,8 @@
 	if err := validate(set); err != nil {
 		return nil, err
 	}
-	l := &Logic{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+	source := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
+	l := &Logic{set: set, source: source, rng: rand.New(source),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
 		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{},
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,6 +12,7 @@
 // Logic decides for one node. It is pure: time and chance come in through Step and New.
 type Logic struct {
 	set            Settings
+	source         *rand.PCG // of the chance
 	rng            *rand.Rand
 	now            Millis
 	out            []Action
