--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,7 +40,7 @@
 	staleAfter  = 2000.0       // some service times without news make evidence stale
 	staleDecay  = 4000.0       // a shunned server's unit time returns to the fleet's over some seconds
 
-	redrawFactor = 1.5   // a draw is repeated when its expected time exceeds the best by so much
+	redrawFactor = 1.25  // a draw is repeated when its expected time exceeds the best by so much
 	fitShare     = 0.4   // expected share of the time left that a first send may use; the rest is variance
 	heldShare    = 0.7   // once held a request may use more of what is left: else each newcomer would pass it
 	herdFloor    = 0.6   // none is believed much faster than typical for its size: all nodes would run there
@@ -681,10 +681,8 @@
 	first, second := l.homes(r)
 	for i := 0; i < probeWidth; i++ {
 		s := l.draw(open)
-		if i == 0 && first != nil {
-			s = first
-		} else if i == 1 && second != nil {
-			s = second
+		if i < 2 && first != nil {
+			s = []*server{first, second}[i]
 		}
 		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh || !l.probes.take() {
 			continue
@@ -1020,7 +1018,9 @@
 	}
 	l.retries.refill(l.retries.at+1, retryShare, retryBurst)
 	l.tellings.refill(l.tellings.at+1, tellSpend, tellBurst*tellSpend)
-	l.probes.left = min(3*probeWidth, l.probes.left+l.ease*probeSpend/max(1e-9, l.set.ProbePrice))
+	hands := l.crowd + float64(l.outstanding)/max(1, float64(len(l.list)))
+	spend := l.ease * probeSpend * min(1, hands/math.Round(l.width)) // little is gained by asking idle servers
+	l.probes.left = min(3*probeWidth, l.probes.left+spend/max(1e-9, l.set.ProbePrice))
 	if t := r.tenant; t != nil && t.Quota > 0 {
 		quota := t.Quota * l.quotaScale()
 		t.quota.refill(l.now, quota/1000, quota)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -113,6 +113,7 @@
 func failing(t *testing.T, b *bed, bad ServerID, res Result) {
 	t.Helper()
 	for i := 0; i < 300 && !b.l.servers[bad].excluded; i++ {
+		b.l.servers[bad].seen, b.l.servers[bad].unit = true, 1 // as fast as any by its record, so that it is drawn
 		b.serve("read", 5, func(s ServerID) Result {
 			if s == bad {
 				return res
