--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -317,6 +317,11 @@
 	List       map[string]int `json:"list"`
 	Inventory  map[string]int `json:"inventory"`
 	Log        map[string]int `json:"log_lines"`
+	Watch      struct {
+		Steps  int            `json:"steps"`
+		Differ map[string]int `json:"differ"`
+	} `json:"watch"`
+	Peers struct{ Sent, Taken int } `json:"peers"`
 }
 
 // addUp checks that every request taken has one ending.
--- a/cmd/tackhub/watch_test.go
+++ b/cmd/tackhub/watch_test.go
@@ -1,44 +1,12 @@
 package main
 
 import (
-	"encoding/json"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 )
 
-// watched are the counters of decisions that other settings would have made otherwise.
-type watched struct {
-	Watch struct {
-		Steps  int            `json:"steps"`
-		Differ map[string]int `json:"differ"`
-	} `json:"watch"`
-	Peers struct {
-		Sent  int            `json:"sent"`
-		Taken int            `json:"taken"`
-		Drops map[string]int `json:"drops"`
-	} `json:"peers"`
-}
-
-func (p *process) watched() (got watched) {
-	p.t.Helper()
-	c := p.connect()
-	defer func() { _ = c.Close() }()
-	if _, err := io.WriteString(c, "GET /_counters HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
-		p.t.Fatal(err)
-	}
-	a, err := c.read()
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	if err := json.Unmarshal([]byte(a.body), &got); err != nil {
-		p.t.Fatal(err)
-	}
-	return got
-}
-
 func write(t *testing.T, name, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name)
@@ -57,7 +25,7 @@
 	for range 3 {
 		p.mustAsk(request("look", 1000))
 	}
-	if got := p.watched().Watch; got.Steps == 0 || len(got.Differ) != 0 {
+	if got := p.counts().Watch; got.Steps == 0 || len(got.Differ) != 0 {
 		t.Fatalf("the same settings: %d steps, %v", got.Steps, got.Differ)
 	}
 	single := strings.Replace(testSettings, `"effect":"free"`, `"effect":"single_shot"`, 1)
@@ -66,17 +34,17 @@
 	if a := p.mustAsk(request("look", 1000)); a.status != 503 {
 		t.Errorf("status %d: the settings watched decided", a.status)
 	}
-	if got := p.watched().Watch.Differ["failed"]; got == 0 {
+	if got := p.counts().Watch.Differ["failed"]; got == 0 {
 		t.Error("a request refused that the other settings would fail is not counted")
 	}
 	bad := write(t, "bad.json", strings.Replace(testSettings, `"goal":{"whole":1}`, `"goal":{"whole":1,"nines_wanted":0}`, 1))
-	before := p.watched().Watch.Steps
+	before := p.counts().Watch.Steps
 	p.configure("watch", bad)
 	p.reload("reload_failed")
 	if !strings.Contains(p.log.String(), "goal.nines_wanted") {
 		t.Error("no line names the key that is wrong")
 	}
-	if p.mustAsk(request("look", 1000)); p.watched().Watch.Steps <= before {
+	if p.mustAsk(request("look", 1000)); p.counts().Watch.Steps <= before {
 		t.Error("a bad file ended the watch that was on")
 	}
 }
@@ -93,11 +61,11 @@
 	two := startNode(t, setup{discovery: d.addr, settings: second, peers: nodes})
 	eventually(t, "a message between the nodes", func() bool {
 		one.mustAsk(request("look", 1000))
-		return two.watched().Peers.Taken > 0
+		return two.counts().Peers.Taken > 0
 	})
 	quiet, _ := startWith(t, "", s)
 	quiet.mustAsk(request("look", 1000))
-	if got := quiet.watched().Peers; got.Sent != 0 || got.Taken != 0 {
+	if got := quiet.counts().Peers; got.Sent != 0 || got.Taken != 0 {
 		t.Errorf("a node without addresses talked: %+v", got)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 	n.watch = watch.New(module, c.Watch, &count.Watch)
 	var teller engine.Teller
 	if len(c.Peers) > 0 {
-		n.peers, err = peers.Listen(peers.Options{Node: set.Node, Nodes: c.Peers, To: lateNews{n}, Log: log, Count: &count.Peers})
+		n.peers, err = peers.Listen(peers.Options{Node: set.Node, Nodes: c.Peers, To: lateNews{n}, Count: &count.Peers})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/netip"
 	"time"
@@ -37,7 +36,6 @@
 	Node  int              // this node's number
 	Nodes []netip.AddrPort // all nodes' addresses, by number; this node listens on its own
 	To    Hearer
-	Log   *slog.Logger
 	Count *counters.Peers
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -27,15 +27,6 @@
 	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
 }
 
-func until(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal(what)
-		}
-	}
-}
-
 func TestNodesHearOneAnotherAndNoStranger(t *testing.T) {
 	nodes := []netip.AddrPort{free(t), free(t), free(t)} // the third is down
 	heard, count := make(ears, 8), &counters.Peers{}
@@ -65,7 +56,11 @@
 	}
 	defer stranger.Close()
 	_, _ = stranger.Write([]byte("\x00\x00\x00\x00news"))
-	until(t, "the stranger is not counted", func() bool { return count.Drops.Get("stranger") == 1 })
+	for end := time.Now().Add(10 * time.Second); count.Drops.Get("stranger") != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the stranger is not counted")
+		}
+	}
 	for reason, message := range map[string][]byte{"size": {0, 0, 0, 0}, "number": {0, 0, 0, 7, 1}} {
 		if links[1].take(message, nodes[0]); count.Drops.Get(reason) != 1 {
 			t.Errorf("%s is not counted", reason)
