--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		var out []operator.Fault
 		for _, e := range settings.All(err) {
-			out = append(out, operator.Fault{File: path, Line: lines.Of(e.Key), Key: e.Key, Text: e.Text})
+			out = append(out, operator.Fault{File: path, Line: lines.Of(e.Key), Key: "watch", Text: e.Text})
 		}
 		return nil, out
 	}
