--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,10 +85,10 @@
 		Reports: set.Reports, Waiting: c.Settings.WaitingAt >= 0, Log: log, Count: count})
 	n.back = back.New(back.Options{Addresses: n.roster, NStart: nstart, Again: clock.Span(set.DrainGrace / 2),
 		ParseLoad: n.pool.Load, Log: log, Count: &count.CoapBack})
-	n.watch = watch.New(module, c.Watch, &count.Watch)
+	n.watch = watch.New(module, c.Watch, log, &count.Watch)
 	var teller engine.Teller
 	if len(c.Peers) > 0 {
-		n.peers, err = peers.Listen(peers.Options{Node: set.Node, Nodes: c.Peers, To: lateNews{n}, Count: &count.Peers})
+		n.peers, err = peers.Listen(peers.Options{Node: set.Node, Nodes: c.Peers, To: lateNews{n}, Log: log, Count: &count.Peers})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,8 +7,10 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"tackhub.example/tackhub/internal/counters"
@@ -36,6 +38,7 @@
 	Node  int              // this node's number
 	Nodes []netip.AddrPort // all nodes' addresses, by number; this node listens on its own
 	To    Hearer
+	Log   *slog.Logger
 	Count *counters.Peers
 }
 
@@ -45,6 +48,7 @@
 	conn    *net.UDPConn
 	out     chan []byte
 	numbers map[netip.AddrPort]int
+	logged  sync.Map // reasons of drops that the log has named
 }
 
 // Listen opens the node's own address.
@@ -58,19 +62,28 @@
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	l.conn = conn
+	o.Log.Info("talking to the other nodes", "code", "peers", "listen", o.Nodes[o.Node].String(), "nodes", len(o.Nodes))
 	return l, nil
 }
 
+// drop counts a message that is not sent or not taken; the first of each reason is logged, the rest are counted.
+func (l *Link) drop(reason string) {
+	l.o.Count.Drops.Inc(reason)
+	if _, known := l.logged.LoadOrStore(reason, true); !known {
+		l.o.Log.Warn("a message between nodes was dropped, further ones are only counted", "code", "peers_drop", "reason", reason)
+	}
+}
+
 // Tell sends every other node a message. It never waits: what does not fit the queue is dropped and counted.
 func (l *Link) Tell(body []byte) {
 	if len(body) > logic.MessageMost {
-		l.o.Count.Drops.Inc("too_long")
+		l.drop("too_long")
 		return
 	}
 	select {
 	case l.out <- body:
 	default:
-		l.o.Count.Drops.Inc("queue_full")
+		l.drop("queue_full")
 	}
 }
 
@@ -100,7 +113,7 @@
 			continue
 		}
 		if _, err := l.conn.WriteToUDPAddrPort(message, to); err != nil {
-			l.o.Count.Drops.Inc("write")
+			l.drop("write")
 			continue
 		}
 		l.o.Count.Sent.Inc()
@@ -116,14 +129,14 @@
 			return
 		}
 		if err != nil {
-			l.o.Count.Drops.Inc("read") // such as a peer's port that is closed: it concerns one datagram
+			l.drop("read") // such as a peer's port that is closed: it concerns one datagram
 			continue
 		}
 		if now := time.Now(); now.Sub(second) >= time.Second {
 			second, taken = now, 0
 		}
 		if taken++; taken > mostPerSecond {
-			l.o.Count.Drops.Inc("rate")
+			l.drop("rate")
 			continue
 		}
 		l.take(buffer[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
@@ -135,11 +148,11 @@
 	number, known := l.numbers[from]
 	switch {
 	case !known || number == l.o.Node:
-		l.o.Count.Drops.Inc("stranger")
+		l.drop("stranger")
 	case len(message) <= headLen || len(message) > headLen+logic.MessageMost:
-		l.o.Count.Drops.Inc("size")
+		l.drop("size")
 	case binary.BigEndian.Uint32(message) != uint32(number):
-		l.o.Count.Drops.Inc("number")
+		l.drop("number")
 	default:
 		l.o.Count.Taken.Inc()
 		l.o.To.Hear(logic.Told{From: number, Body: append([]byte(nil), message[headLen:]...)})
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
 	"testing"
@@ -34,7 +35,7 @@
 	defer cancel()
 	links := []*Link{}
 	for i := range 2 {
-		l, err := Listen(Options{Node: i, Nodes: nodes, To: heard, Count: count})
+		l, err := Listen(Options{Node: i, Nodes: nodes, To: heard, Log: slog.Default(), Count: count})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -74,7 +75,7 @@
 // The engine must never wait for the network.
 func TestTellNeverWaits(t *testing.T) {
 	count := &counters.Peers{}
-	l, err := Listen(Options{Node: 0, Nodes: []netip.AddrPort{free(t), free(t)}, To: make(ears), Count: count})
+	l, err := Listen(Options{Node: 0, Nodes: []netip.AddrPort{free(t), free(t)}, To: make(ears), Log: slog.Default(), Count: count})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -3,6 +3,7 @@
 package watch
 
 import (
+	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -37,19 +38,24 @@
 type Watch struct {
 	module *logic.Logic
 	other  atomic.Pointer[logic.Settings]
+	log    *slog.Logger
 	count  *counters.Watch
 	seen   map[logic.RequestID]uint // kinds counted, a bit each: one that is held is decided on again and again
 }
 
 // New watches a module; with no settings to watch it only passes on.
-func New(module *logic.Logic, other *logic.Settings, count *counters.Watch) *Watch {
-	w := &Watch{module: module, count: count, seen: map[logic.RequestID]uint{}}
-	w.other.Store(other)
+func New(module *logic.Logic, other *logic.Settings, log *slog.Logger, count *counters.Watch) *Watch {
+	w := &Watch{module: module, log: log, count: count, seen: map[logic.RequestID]uint{}}
+	w.Follow(other)
 	return w
 }
 
 // Follow watches other settings from the next step on; none where nil.
-func (w *Watch) Follow(other *logic.Settings) { w.other.Store(other) }
+func (w *Watch) Follow(other *logic.Settings) {
+	if old := w.other.Swap(other); (old == nil) != (other == nil) {
+		w.log.Info("watching other settings", "code", "watch", "on", other != nil)
+	}
+}
 
 // Step lets the module decide.
 func (w *Watch) Step(now logic.Millis, event logic.Event) []logic.Action {
@@ -71,19 +77,26 @@
 // ask lets a copy of the module decide; nil where it cannot. A fault there is none of the node's.
 func (w *Watch) ask(set logic.Settings, now logic.Millis, event logic.Event) (would []logic.Action) {
 	defer func() {
-		if recover() != nil {
-			w.count.Faults.Inc()
+		if p := recover(); p != nil {
+			w.fault(p)
 			would = nil
 		}
 	}()
 	c, err := w.module.Clone(set)
 	if err != nil {
-		w.count.Faults.Inc()
+		w.fault(err)
 		return nil
 	}
 	return append([]logic.Action{}, c.Step(now, event)...)
 }
 
+// fault counts a step that the other settings could not decide, and logs the first.
+func (w *Watch) fault(what any) {
+	if w.count.Faults.Inc(); w.count.Faults.Get() == 1 {
+		w.log.Error("the settings watched could not decide, further steps are only counted", "code", "watch_fault", "fault", what)
+	}
+}
+
 // verdict is what became of a request in one step.
 type verdict struct {
 	kind   string // Sent, Refused, Failed, or empty: nothing
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"reflect"
 	"testing"
@@ -119,7 +120,7 @@
 	other.MayProbe, other.Classes[0].Effect, other.CrossZonePrice = false, logic.Unsafe, 0.5
 	for name, set := range map[string]*logic.Settings{"the same": &same, "others": &other, "none": nil} {
 		count := &counters.Watch{}
-		if got := play(New(newModule(t, settings()), set, count), steps); !reflect.DeepEqual(got, alone) {
+		if got := play(New(newModule(t, settings()), set, slog.Default(), count), steps); !reflect.DeepEqual(got, alone) {
 			t.Errorf("%s watched: another stream of actions", name)
 		}
 		differ, _ := count.Differ.MarshalJSON()
@@ -149,7 +150,7 @@
 	} {
 		base, other, count := settings(), settings(), &counters.Watch{}
 		change(&base, &other)
-		play(New(newModule(t, base), &other, count), 3000)
+		play(New(newModule(t, base), &other, slog.Default(), count), 3000)
 		if count.Differ.Get(kind) == 0 {
 			all, _ := count.Differ.MarshalJSON()
 			t.Errorf("%s never counted, only %s", kind, all)
@@ -161,7 +162,7 @@
 func TestOtherClassesAndAChange(t *testing.T) {
 	other, count := settings(), &counters.Watch{}
 	other.Classes = other.Classes[1:]
-	w := New(newModule(t, settings()), nil, count)
+	w := New(newModule(t, settings()), nil, slog.Default(), count)
 	play(w, 500)
 	if count.Steps.Get() != 0 {
 		t.Error("compared with nothing to watch")
@@ -178,7 +179,7 @@
 	for name, set := range map[string]*logic.Settings{"off": nil, "on": &same} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
-			play(New(newModule(b, settings()), set, &counters.Watch{}), b.N)
+			play(New(newModule(b, settings()), set, slog.Default(), &counters.Watch{}), b.N)
 		})
 	}
 }
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -178,8 +178,8 @@
 		t.Errorf("told twice of 9 requests: %v", got)
 	}
 	b.now += 4 * toldOld
-	if b.step(TimerFired{"sweep"}); b.l.hearing() {
-		t.Error("a node long silent is still believed")
+	if b.step(TimerFired{"sweep"}); b.l.hearing() || b.l.hearing() || count[Log](b.l.out) != 1 {
+		t.Errorf("a node long silent: still believed, or %d log lines", count[Log](b.l.out))
 	}
 	b.l.set.Peers = false
 	if b.step(Told{From: 2, Body: append([]byte{tellVersion}, entry...)}); b.l.servers["s0"].toldLoad() != 9 {
--- a/logic/state.go
+++ b/logic/state.go
@@ -55,6 +55,7 @@
 	changed        bool    // since the other nodes were told
 	toldAt         Millis
 	heardAt        Millis
+	deaf           bool // they no longer can be heard, and the log says so
 	heardFrom      map[int]Millis
 	toldOutcomesAt Millis
 	hearGap        Millis                // usual time between two messages of a node
@@ -443,8 +444,18 @@
 	return first, second
 }
 
-// hearing says that the other nodes can be heard.
-func (l *Logic) hearing() bool { return l.heardAt > 0 && l.now < l.heardAt+l.toldFor() }
+// hearing says that the other nodes can be heard. That they no longer can is logged once.
+func (l *Logic) hearing() bool {
+	if l.heardAt == 0 {
+		return false
+	}
+	silent := l.now >= l.heardAt+l.toldFor()
+	if silent && !l.deaf {
+		l.logf("no other node heard for %.0f ms: deciding by reports and own outcomes", l.now-l.heardAt)
+	}
+	l.deaf = silent
+	return !silent
+}
 
 // toldFor is how long what a node told is believed.
 func (l *Logic) toldFor() Millis { return max(toldOld, 3*l.hearGap) }
