--- /dev/null
+++ b/cmd/tackhub/door_test.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+)
+
+// figures are what the operators' door shows.
+type figures struct {
+	Operations map[string]map[string]int `json:"operations"`
+	Open       int                       `json:"open_requests"`
+	Entries    int                       `json:"registry_entries"`
+	Avoided    int                       `json:"out_of_rotation"`
+}
+
+// withDoor starts servers' discovery and a node with a door.
+func withDoor(t *testing.T, servers ...*server) (p *process, door string) {
+	t.Helper()
+	d := startDiscovery(t, members(servers...))
+	door = freeAddress(t)
+	p = startNode(t, setup{discovery: d.addr, env: []string{"ROUTER_OPERATOR=" + door}})
+	eventually(t, "watch", func() bool { return d.watched() > 0 })
+	return p, door
+}
+
+// call makes one call at a door.
+func call(t *testing.T, door, method, path string) answer {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", door, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: staff\r\n\r\n", method, path) // a failure shows in the reading
+	raw, err := io.ReadAll(c)                                                    // one call to a connection: it ends
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
+	if err != nil {
+		t.Fatalf("%s %s: %v in %q", method, path, err, raw)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body)}
+}
+
+func stats(t *testing.T, door string) (f figures) {
+	t.Helper()
+	a := call(t, door, "GET", "/stats")
+	if err := json.Unmarshal([]byte(a.body), &f); err != nil || a.status != 200 {
+		t.Fatalf("%d, %v in %s", a.status, err, a.body)
+	}
+	return f
+}
+
+func TestDoorTakesItsFourCallsAndNoMore(t *testing.T) {
+	_, door := withDoor(t, startServer(t, "s1", say(200, "done")))
+	for _, c := range []struct {
+		method, path string
+		status       int
+		allow        string
+	}{
+		{"GET", "/healthcheck", 200, ""}, {"GET", "/stats", 200, ""}, {"PUT", "/healthcheck/ok", 200, ""},
+		{"POST", "/stats", 405, "GET"}, {"GET", "/healthcheck/fail", 405, "PUT"},
+		{"GET", "/", 404, ""}, {"GET", "/_counters", 404, ""}, {"noise", "", 400, ""},
+	} {
+		if a := call(t, door, c.method, c.path); a.status != c.status || a.header.Get("Allow") != c.allow {
+			t.Errorf("%s %s: %d, allow %q", c.method, c.path, a.status, a.header.Get("Allow"))
+		}
+	}
+}
+
+func TestDoorAnswersBesideSilentCallersWithClientsAtTheLimit(t *testing.T) {
+	s := startServer(t, "s1", say(200, "done"))
+	d, door := startDiscovery(t, members(s)), freeAddress(t)
+	p := startNode(t, setup{discovery: d.addr, sockets: 96, env: []string{"ROUTER_OPERATOR=" + door}})
+	for range 40 { // more than the node takes
+		p.connect().write("GET /look HTTP/1.1\r\n")
+	}
+	for i := range 60 {
+		c, err := net.Dial("tcp", door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if i%2 == 0 {
+			_, _ = io.WriteString(c, "GET /st")
+		}
+	}
+	began := time.Now()
+	if a := call(t, door, "GET", "/healthcheck"); a.status != 200 || time.Since(began) > time.Second {
+		t.Errorf("status %d after %v", a.status, time.Since(began))
+	}
+}
+
+func TestFiguresAreWhatClientsAndServersCounted(t *testing.T) {
+	s := startServer(t, "s1", say(200, "done"))
+	p, door := withDoor(t, s)
+	if f := stats(t, door); len(f.Operations) != 3 || f.Entries != 1 || f.Avoided != 0 {
+		t.Errorf("at the start %+v", f)
+	}
+	seen := map[string]int{}
+	ask := func(class string, n int) {
+		for range n {
+			seen[fmt.Sprint(class, p.mustAsk(request(class, 500)).status)]++
+		}
+	}
+	ask("look", 5)
+	ask("store", 3)
+	s.behave(say(500, "no"))
+	ask("bill", 2)
+	s.behave(say(503, "busy", "X-Not-Run: 1"))
+	ask("look", 2)
+	p.mustAsk("GET /look HTTP/1.1\r\nHost: x\r\nX-Class: look\r\n\r\n") // no request: it has no id
+	gate := make(chan struct{})
+	s.behave(after(gate, say(200, "done")))
+	inHand := p.send(request("store", 1400))
+	eventually(t, "a request in hand", func() bool { return stats(t, door).Open == 1 })
+	f := stats(t, door)
+	close(gate)
+	wait(t, "the request in hand", inHand)
+	for _, class := range []string{"look", "store", "bill"} {
+		o := f.Operations[class]
+		if o["fulfilled"] != seen[class+"200"] || o["throttled"] != seen[class+"503"] ||
+			o["faulted"] != seen[class+"502"]+seen[class+"504"] {
+			t.Errorf("%s: %v, but clients saw %v", class, o, seen)
+		}
+		got := 0
+		for _, r := range s.requests() {
+			if strings.Contains(r.line, "/"+class) {
+				got++
+			}
+		}
+		if o["relayed"] != got {
+			t.Errorf("%s: %d attempts, but the server got %d", class, o["relayed"], got)
+		}
+	}
+	if seen["look200"] != 5 || seen["bill502"] != 2 || seen["look503"] != 2 {
+		t.Errorf("the traffic was not mixed: %v", seen)
+	}
+}
+
+func TestDrainByHandEndsAndLosesNothing(t *testing.T) {
+	gate := make(chan struct{})
+	p, door := withDoor(t, startServer(t, "s1", after(gate, say(200, "done"))))
+	health := func(status int) func() bool {
+		return func() bool {
+			a, err := p.ask("GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+			return err == nil && a.status == status
+		}
+	}
+	idle, busy := p.connect(), p.connect()
+	idle.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := idle.read(); err != nil {
+		t.Fatal(err)
+	}
+	busy.write(request("bill", 1500))
+	eventually(t, "a request in hand", func() bool { return p.counts().Requests["open"] == 1 })
+	for range 2 { // a drain during a drain
+		if a := call(t, door, "PUT", "/healthcheck/fail"); a.status != 200 {
+			t.Fatalf("drain: %d", a.status)
+		}
+	}
+	if !health(503)() || call(t, door, "GET", "/healthcheck").status != 503 {
+		t.Error("a drained node says yes")
+	}
+	late := p.send(request("look", 1500))
+	close(gate)
+	if a, err := busy.read(); err != nil || a.status != 200 || !a.last {
+		t.Errorf("the request in hand: %+v, %v", a, err)
+	}
+	if a := wait(t, "one that came during the drain", late); a.status != 200 || !a.last {
+		t.Errorf("one that came during the drain: %+v", a)
+	}
+	if _, err := idle.read(); err != io.EOF && err != io.ErrUnexpectedEOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+	for range 2 { // also without a drain
+		call(t, door, "PUT", "/healthcheck/ok")
+	}
+	if !health(200)() || call(t, door, "GET", "/healthcheck").status != 200 {
+		t.Error("no yes after the drain")
+	}
+	if a := p.mustAsk(request("look", 500)); a.status != 200 {
+		t.Errorf("after the drain: %d", a.status)
+	}
+	call(t, door, "PUT", "/healthcheck/fail")
+	p.terminate()
+	if code := p.exit(); code != 0 {
+		t.Errorf("SIGTERM during a drain: exit %d", code)
+	}
+}
+
+func TestDoorInUseEndsTheStart(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	cmd := exec.Command(program)
+	cmd.Env = append(environment(t, freeAddress(t), setup{discovery: freeAddress(t)}), "ROUTER_OPERATOR="+l.Addr().String())
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "ROUTER_OPERATOR") || strings.Count(strings.TrimSpace(string(out)), "\n") != 0 {
+		t.Errorf("%v, said %q", err, out)
+	}
+}
--- a/internal/coap/back/back.go
+++ b/internal/coap/back/back.go
@@ -122,6 +122,7 @@
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	wrote  bool
+	copy   engine.Copy
 	over   bool
 }
 
@@ -135,13 +136,13 @@
 }
 
 // Send starts an attempt. Done is called once, unless Abort comes first.
-func (b *Back) Send(server logic.ServerID, raw []byte, done func(engine.End)) engine.Attempt {
+func (b *Back) Send(server logic.ServerID, c engine.Copy, done func(engine.End)) engine.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{cancel: cancel}
+	a := &attempt{cancel: cancel, copy: c}
 	began := time.Now()
 	go func() {
 		defer cancel()
-		end := b.run(ctx, server, raw, a)
+		end := b.run(ctx, server, c.Bytes, a)
 		end.Elapsed = clock.Millis(time.Since(began))
 		a.mu.Lock()
 		over := a.over
@@ -408,8 +409,12 @@
 	}
 	if last && a != nil {
 		a.mu.Lock()
+		first := !a.wrote
 		a.wrote = true
 		a.mu.Unlock()
+		if first { // an attempt whose last block goes out again after an Echo is still one
+			a.copy.Written()
+		}
 	}
 	return p.send(ctx, raw, w)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Operator  string // where staff are answered; empty: nowhere
 	Seed      uint64
 	Limits    Limits
 	Known     catalog.List
@@ -44,6 +45,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Operator  string          `json:"operator"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
@@ -118,6 +120,7 @@
 func (f *file) override(getenv func(string) string) {
 	for key, field := range map[string]*string{
 		"ROUTER_NAME": &f.Name, "ROUTER_LISTEN": &f.Listen, "ROUTER_DISCOVERY": &f.Discovery,
+		"ROUTER_OPERATOR": &f.Operator,
 	} {
 		if v := getenv(key); v != "" {
 			*field = v
@@ -127,7 +130,7 @@
 
 // check reads every part, and tells all that is wrong.
 func (f *file) check(path string, lines locate.Lines) (Config, []operator.Fault) {
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, Limits: f.Limits}
 	var faults []operator.Fault
 	fault := func(at, key, format string, args ...any) {
 		faults = append(faults, operator.Fault{File: path, Line: lines.Of(at), Key: key, Text: fmt.Sprintf(format, args...)})
@@ -141,6 +144,11 @@
 	if err := address("ROUTER_DISCOVERY", "discovery", c.Discovery); err != nil {
 		fault("discovery", "", "%v", err)
 	}
+	if c.Operator != "" {
+		if err := address("ROUTER_OPERATOR", "operator", c.Operator); err != nil {
+			fault("operator", "", "%v", err)
+		}
+	}
 	for _, l := range f.Limits.faults() {
 		fault(l.Key, l.Key, "%s", l.Text)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -51,6 +51,8 @@
 		{"ROUTER_LISTEN", `127.0.0.1:8081`, `127.0.0.1:99999`},
 		{"ROUTER_LISTEN", `127.0.0.1:8081`, `127.0.0.1:http`},
 		{"ROUTER_DISCOVERY", `127.0.0.2:8500`, `discovery.local:8500`},
+		{"ROUTER_OPERATOR", `"listen"`, `"operator":"127.0.0.1","listen"`},
+		{"ROUTER_OPERATOR", `"listen"`, `"operator":"staff.local:9000","listen"`},
 		{"seed", `8c1f30d27a5be964`, `seed`},
 		{"seed", `8c1f30d27a5be964`, `18c1f30d27a5be964`},
 		{"limits.cores", `"cores":1.0`, `"cores":0`},
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -39,6 +39,7 @@
 	}{
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
+		{"operator", c.Operator == next.Operator},
 		{"limits", c.Limits == next.Limits},
 		{"peers", slices.Equal(c.Peers, next.Peers)},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -17,6 +17,9 @@
 // Inc adds one.
 func (c *Count) Inc() { c.n.Add(1) }
 
+// Set puts a gauge at n.
+func (c *Count) Set(n int64) { c.n.Store(n) }
+
 // Get reads the count.
 func (c *Count) Get() int64 { return c.n.Load() }
 
@@ -56,6 +59,27 @@
 	return json.Marshal(g.m)
 }
 
+// Operation are the counts of one class of the settings. An attempt counts once its last byte is written, a request
+// where it ends.
+type Operation struct {
+	Fulfilled Count `json:"fulfilled"` // answered 200
+	Throttled Count `json:"throttled"` // answered 429 or 503, whoever worded it
+	Faulted   Count `json:"faulted"`   // every other ending of a request of the class
+	Relayed   Count `json:"relayed"`   // attempts written whole to a server
+}
+
+// Operations are the counts by class. The classes are set before the node serves and then stay, so that reading and
+// counting take no lock.
+type Operations map[string]*Operation
+
+// For gives a class's counts; those of a class that the settings do not have count nowhere.
+func (o Operations) For(class string) *Operation {
+	if c := o[class]; c != nil {
+		return c
+	}
+	return &Operation{}
+}
+
 // Coap are the counts of the CoAP front. Requests that it takes are counted among the node's requests as well.
 type Coap struct {
 	Datagrams   Count `json:"datagrams"`
@@ -108,8 +132,19 @@
 		Overdue  Count `json:"overdue"`  // of the failed: ended by the guard, since the module had not answered
 		Unsent   Count `json:"unsent"`   // of the served, refused and failed: the client took the answer no more
 	} `json:"requests"`
-	Rejections Group `json:"rejections"` // why requests were rejected
-	Attempts   struct {
+	Operations Operations `json:"operations"` // by class
+	Rejections Group      `json:"rejections"` // why requests were rejected
+	Registry   struct {
+		Entries Count `json:"entries"` // servers in the list as the module has it
+		Avoided Count `json:"avoided"` // of these, the ones that get nothing in the ordinary way
+	} `json:"registry"`
+	Door struct {
+		Calls   Count `json:"calls"`   // answered 2xx
+		Refused Group `json:"refused"` // calls answered otherwise, by status
+		Open    Count `json:"open"`    // callers now
+		Evicted Count `json:"evicted"` // callers that said nothing and made way for others
+	} `json:"operator_door"` // all 0 where staff have none
+	Attempts struct {
 		Sent    Count `json:"sent"`    // started for the module
 		Open    Count `json:"open"`    // out now
 		Written Count `json:"written"` // written whole to a server
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,12 @@
 	Step(now logic.Millis, event logic.Event) []logic.Action
 }
 
+// Census is a module that tells how many servers are listed and how many of them it avoids.
+type Census interface {
+	Census() (listed, avoided int)
+	Changes() int // Census gives the same while this does
+}
+
 // End is how an attempt or a probe ended. Whoever waits for the answer gets the body with it.
 type End struct {
 	Result  logic.Result
@@ -55,6 +61,19 @@
 	Abort() (mayHaveRun bool)
 }
 
+// Copy is one copy of a request for a server.
+type Copy struct {
+	Bytes []byte
+	Wrote func() // called once when the last byte has been written; nil where nobody asks
+}
+
+// Written tells that the last byte has been written.
+func (c Copy) Written() {
+	if c.Wrote != nil {
+		c.Wrote()
+	}
+}
+
 // Exchange is one client's request. Its methods do not wait.
 type Exchange interface {
 	Arrival() logic.Arrival
@@ -87,6 +106,8 @@
 	most    int // attempts a request may have
 	log     *slog.Logger
 	count   *counters.Counters
+	census  Census        // nil where the module tells none
+	changes int           // as last counted
 	queue   []logic.Event // events that actions brought about; they follow at once
 	stopped chan struct{}
 }
@@ -136,7 +157,8 @@
 
 // New makes an engine; Run starts it.
 func New(o Options) *Engine {
-	return &Engine{module: o.Module, clock: o.Clock, mailbox: make(chan message, mailboxLen),
+	census, _ := o.Module.(Census)
+	return &Engine{census: census, module: o.Module, clock: o.Clock, mailbox: make(chan message, mailboxLen),
 		live: map[logic.RequestID]*call{}, prober: o.Prober, watcher: o.Watcher, teller: o.Teller, most: o.MaxAttempts,
 		log: o.Log, count: o.Count, stopped: make(chan struct{})}
 }
@@ -332,4 +354,16 @@
 		e.queue = e.queue[1:]
 	}
 	e.queue = nil
+	e.recount()
+}
+
+// recount notes what the module tells of the list, once that has changed.
+func (e *Engine) recount() {
+	if e.census == nil || e.census.Changes() == e.changes {
+		return
+	}
+	e.changes = e.census.Changes()
+	listed, avoided := e.census.Census()
+	e.count.Registry.Entries.Set(int64(listed))
+	e.count.Registry.Avoided.Set(int64(avoided))
 }
--- a/internal/exchange/book.go
+++ b/internal/exchange/book.go
@@ -11,6 +11,7 @@
 	e.write(ctx)
 	c := &r.desk.o.Count.Requests
 	c.Open.Add(-1)
+	r.bookClass(e)
 	switch {
 	case e.rejected != "":
 		c.Rejected.Inc()
@@ -30,3 +31,18 @@
 			"request", r.taken.id)
 	}
 }
+
+// bookClass counts the ending under the request's class. One that was not admitted counts where its client was told that
+// its time is over, which is a request's own ending; what is not in the protocol's form is no request of a class.
+func (r *request) bookClass(e ending) {
+	c := r.desk.o.Count.Operations.For(r.taken.class)
+	switch {
+	case e.rejected != "" && e.status < fasthttp.StatusInternalServerError:
+	case e.status == fasthttp.StatusOK:
+		c.Fulfilled.Inc()
+	case e.status == fasthttp.StatusServiceUnavailable || e.status == fasthttp.StatusTooManyRequests:
+		c.Throttled.Inc()
+	default:
+		c.Faulted.Inc()
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,7 +22,7 @@
 }
 
 // Sender writes one copy of a request to a server.
-type Sender func(server logic.ServerID, bytes []byte, done func(engine.End)) engine.Attempt
+type Sender func(server logic.ServerID, c engine.Copy, done func(engine.End)) engine.Attempt
 
 // Client is the connection that a request came on.
 type Client interface {
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -48,5 +48,6 @@
 
 // Send starts an attempt; the engine calls it for each of the module's sends.
 func (r *request) Send(server logic.ServerID, wait logic.Millis, done func(engine.End)) engine.Attempt {
-	return r.desk.o.Send(server, r.wire.bytes(wait), done)
+	relayed := &r.desk.o.Count.Operations.For(r.class.Name).Relayed
+	return r.desk.o.Send(server, engine.Copy{Bytes: r.wire.bytes(wait), Wrote: relayed.Inc}, done)
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -173,7 +173,7 @@
 func (c *conn) closing() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.doomed == "" && c.server.draining() {
+	if c.doomed == "" && (c.server.draining() || c.server.Drained()) {
 		return endDrained
 	}
 	return c.doomed
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -48,6 +48,78 @@
 	return len(conns) == 0 && since >= leastFor || since >= s.o.Grace+drainSlack
 }
 
+// handDrain is a drain by hand, which may end: clients are sent elsewhere and the process runs on.
+type handDrain struct{ over chan struct{} }
+
+const (
+	// handFor is how long after the call idle connections are let be: for so long new connections still come here,
+	// since the front asks ten times a second and goes by a no 0.2 s later. What is closed sooner only comes back.
+	handFor = 450 * time.Millisecond
+
+	// handStep and handBatch spread the closing, so that the other nodes do not get all clients at one moment. At the
+	// most connections in use, 512, it takes some 1.2 s, well inside the 4 s after which none may be held.
+	handStep  = 25 * time.Millisecond
+	handBatch = 12
+)
+
+// Drained tells whether staff have sent the clients elsewhere.
+func (s *Server) Drained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byHand != nil
+}
+
+// DrainByHand has health say no, answers end their connections, and idle connections close step by step. Whoever comes
+// all the same is served.
+func (s *Server) DrainByHand() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byHand != nil {
+		return
+	}
+	s.byHand = &handDrain{over: make(chan struct{})}
+	s.o.Log.Info("drained by hand", "code", "hand_drain", "on", true)
+	go s.clearOut(s.byHand)
+}
+
+// EndDrainByHand welcomes clients again.
+func (s *Server) EndDrainByHand() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byHand == nil {
+		return
+	}
+	close(s.byHand.over)
+	s.byHand = nil
+	s.o.Log.Info("drained by hand", "code", "hand_drain", "on", false)
+}
+
+// clearOut closes idle connections until the drain is over or the node ends, which closes them itself.
+func (s *Server) clearOut(d *handDrain) {
+	first := time.NewTimer(handFor)
+	defer first.Stop()
+	select {
+	case <-first.C:
+	case <-d.over:
+		return
+	}
+	step := time.NewTicker(handStep)
+	defer step.Stop()
+	for !s.draining() {
+		left := handBatch
+		for _, c := range s.all() {
+			if idle, ok := c.idleFor(); ok && left > 0 && (c.served() || idle >= firstFor) && c.doom(endDrained) {
+				left--
+			}
+		}
+		select {
+		case <-step.C:
+		case <-d.over:
+			return
+		}
+	}
+}
+
 // served tells whether the connection has had a request.
 func (c *conn) served() bool {
 	c.mu.Lock()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -58,8 +58,9 @@
 	ending atomic.Bool
 	began  time.Time // of the drain; set before ending
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	byHand *handDrain // nil: clients are welcome
 
 	evicting atomic.Int64 // connections told to make way that have not gone yet
 	open     sync.WaitGroup
@@ -152,7 +153,7 @@
 // health says whether clients should come. Listening and deciding begin together, so a node that can be asked
 // can serve.
 func (s *Server) health(ctx *fasthttp.RequestCtx) {
-	if s.draining() {
+	if s.draining() || s.Drained() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/internal/node/check.go
+++ b/internal/node/check.go
@@ -51,6 +51,9 @@
 	say("node      %s, node %d of %d, zone %q", c.Name, set.Node, set.Nodes, set.Zone)
 	say("listen    %s", c.Listen)
 	say("discovery %s, %d servers known", c.Discovery, len(c.Known.Members))
+	if c.Operator != "" {
+		say("operator  %s", c.Operator)
+	}
 	say("limits    %v cores, %v MB, %d descriptors", c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
 	say("rules     drain grace %v ms, cold from %v for %v ms, falls at %v times for %v ms, %d attempts",
 		set.DrainGrace, set.ColdFrom, set.ColdFor, set.FallMultiple, set.FallFor, set.MaxAttempts)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tackhub.example/tackhub/internal/catalog"
@@ -15,6 +16,7 @@
 	"tackhub.example/tackhub/internal/coap/front"
 	"tackhub.example/tackhub/internal/config"
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/door"
 	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/internal/exchange"
 	"tackhub.example/tackhub/internal/ingress"
@@ -63,6 +65,8 @@
 	watch   *watch.Watch // around the module
 	peers   *peers.Link  // nil where nodes do not talk
 	ingress *ingress.Server
+	door    *door.Door  // nil where staff have none
+	serving atomic.Bool // clients are taken in
 	ending  sync.WaitGroup
 
 	subsystems *part.Set // what the operator file turns on
@@ -75,7 +79,15 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	clk := clock.New()
-	each := (c.Limits.Sockets - reserve) / 2
+	own := reserve
+	if c.Operator != "" {
+		own += door.Most + 1
+	}
+	each := (c.Limits.Sockets - own) / 2
+	count.Operations = counters.Operations{}
+	for _, class := range set.Classes {
+		count.Operations[class.Name] = &counters.Operation{}
+	}
 	n := &node{known: c.Known, clock: clk, count: count, window: longestWindow(set)}
 	n.catalog = catalog.New(catalog.Options{Address: c.Discovery, Subscribe: set.Subscribe,
 		MustAsk: clock.Span(set.MustAskIn), Log: log, Count: count}, c.Known)
@@ -103,11 +115,11 @@
 	return n, nil
 }
 
-func (n *node) send(server logic.ServerID, bytes []byte, done func(engine.End)) engine.Attempt {
+func (n *node) send(server logic.ServerID, c engine.Copy, done func(engine.End)) engine.Attempt {
 	if n.back.Speaks(server) {
-		return n.back.Send(server, bytes, done)
+		return n.back.Send(server, c, done)
 	}
-	return n.pool.Send(server, bytes, done)
+	return n.pool.Send(server, c, done)
 }
 
 // Probe asks a server for a sign of life, over the protocol that it speaks.
@@ -132,6 +144,9 @@
 func (n *node) start(ctx context.Context) {
 	n.ending.Go(func() { n.engine.Run(ctx) })
 	n.ending.Go(func() { n.pool.Run(ctx) })
+	if n.door != nil {
+		n.ending.Go(func() { n.door.Run(ctx) })
+	}
 	if n.peers != nil {
 		n.ending.Go(func() { n.peers.Run(ctx) })
 	}
@@ -142,6 +157,18 @@
 	go n.catalog.Run(ctx, n.known, n.roster) // its call may be held for seconds: the exit does not wait for it
 }
 
+// Ready tells staff whether this process serves clients and wants them.
+func (n *node) Ready() bool { return n.serving.Load() && !n.ingress.Drained() }
+
+// Figures are what staff are shown.
+func (n *node) Figures() []byte { return n.count.Figures() }
+
+// Drain sends clients elsewhere, and Undrain welcomes them again; the process runs on.
+func (n *node) Drain() { n.ingress.DrainByHand() }
+
+// Undrain ends the drain by hand.
+func (n *node) Undrain() { n.ingress.EndDrainByHand() }
+
 // Roster, Clock, Window and Counters are what the inventory needs.
 func (n *node) Roster() *roster.Roster { return n.roster }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -15,6 +15,7 @@
 
 	"tackhub.example/tackhub/internal/config"
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/door"
 	"tackhub.example/tackhub/internal/ingress"
 	"tackhub.example/tackhub/internal/logs"
 	"tackhub.example/tackhub/internal/part"
@@ -64,7 +65,12 @@
 	if err != nil {
 		return err
 	}
-	log.Info("serving", "code", "start", "listen", listener.Addr().String(), "discovery", c.Discovery,
+	if c.Operator != "" {
+		if n.door, err = door.Listen(c.Operator, n, log, count); err != nil {
+			return err
+		}
+	}
+	log.Info("serving", "code", "start", "listen", listener.Addr().String(), "discovery", c.Discovery, "operator", c.Operator,
 		"known", len(c.Known.Members), "cores", c.Limits.Cores, "memory_mb", c.Limits.MemoryMB,
 		"sockets", c.Limits.Sockets)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -81,6 +87,7 @@
 	go n.onSignals(stop, listener, log)
 	go reportOn(ctx, report, log, count)
 	go n.reloadOn(ctx, reload, running, edge, log)
+	n.serving.Store(true)
 	err = n.ingress.Serve(listener)
 	n.subsystems.Stop()
 	cancel()
@@ -125,6 +132,7 @@
 // onSignals drains at the first signal and ends at the second.
 func (n *node) onSignals(stop <-chan os.Signal, l *net.TCPListener, log *slog.Logger) {
 	sig := <-stop
+	n.serving.Store(false)
 	n.ingress.Drain(l)
 	log.Info("draining", "code", "drain", "signal", sig.String())
 	<-stop
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -21,7 +21,7 @@
 type Attempt struct {
 	pool    *Pool
 	server  logic.ServerID
-	bytes   []byte
+	copy    engine.Copy
 	began   time.Time
 	context context.Context
 	cancel  context.CancelFunc
@@ -33,9 +33,9 @@
 	aborted bool
 }
 
-// Send starts writing the bytes to a server. Done is called once with the outcome, unless Abort comes first.
-func (p *Pool) Send(server logic.ServerID, bytes []byte, done func(engine.End)) *Attempt {
-	a := &Attempt{pool: p, server: server, bytes: bytes, began: time.Now(), done: done}
+// Send starts writing the copy to a server. Done is called once with the outcome, unless Abort comes first.
+func (p *Pool) Send(server logic.ServerID, copied engine.Copy, done func(engine.End)) *Attempt {
+	a := &Attempt{pool: p, server: server, copy: copied, began: time.Now(), done: done}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	go a.run()
 	return a
@@ -106,13 +106,14 @@
 // exchange writes the request and reads the answer. It returns why the connection cannot be used again, or "".
 func (a *Attempt) exchange(c *conn, resp *fasthttp.Response) (string, error) {
 	c.requests++
-	if _, err := c.Write(a.bytes); err != nil {
+	if _, err := c.Write(a.copy.Bytes); err != nil {
 		a.mu.Lock()
 		a.writing = false // the last byte was never written: the server cannot have begun
 		a.mu.Unlock()
 		return endWrite, err
 	}
 	a.pool.o.Count.Attempts.Written.Inc()
+	a.copy.Written()
 	return read(c, resp)
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -286,7 +286,7 @@
 		"dead": logic.Unreachable} {
 		ended := make(chan engine.End, 1)
 		done := func(e engine.End) { ended <- e }
-		for _, start := range []func(){func() { p.Send(id, []byte("x"), done) }, func() { p.Probe(id, done) }} {
+		for _, start := range []func(){func() { p.Send(id, engine.Copy{Bytes: []byte("x")}, done) }, func() { p.Probe(id, done) }} {
 			start()
 			select {
 			case e := <-ended:
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -57,6 +57,12 @@
 	}
 }
 
+// Census and Changes are the module's.
+func (w *Watch) Census() (listed, avoided int) { return w.module.Census() }
+
+// Changes is how often the list, or what is excluded of it, has changed.
+func (w *Watch) Changes() int { return w.module.Changes() }
+
 // Step lets the module decide.
 func (w *Watch) Step(now logic.Millis, event logic.Event) []logic.Action {
 	set := w.other.Load()
--- a/logic/state.go
+++ b/logic/state.go
@@ -498,3 +498,20 @@
 	l.hintMean += 0.02 * (min(hint, 4*l.hintMean) - l.hintMean) // heavy ones must not move the mean much
 	return cost
 }
+
+// Census counts the listed servers and, of these, the ones that get nothing in the ordinary way: excluded or draining.
+// It changes only when Changes does.
+func (l *Logic) Census() (listed, avoided int) {
+	for _, s := range l.known {
+		if s.State == Gone {
+			continue
+		}
+		if listed++; s.excluded || s.State != Ready {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
+// Changes is how often the list, or what is excluded of it, has changed.
+func (l *Logic) Changes() int { return l.listed }
