--- a/cmd/tackhub/door_test.go
+++ b/cmd/tackhub/door_test.go
@@ -17,6 +17,7 @@
 // figures are what the operators' door shows.
 type figures struct {
 	Operations map[string]map[string]int `json:"operations"`
+	Relayed    int                       `json:"relayed"`
 	Open       int                       `json:"open_requests"`
 	Entries    int                       `json:"registry_entries"`
 	Avoided    int                       `json:"out_of_rotation"`
@@ -145,6 +146,9 @@
 			t.Errorf("%s: %d attempts, but the server got %d", class, o["relayed"], got)
 		}
 	}
+	if all := len(s.requests()); f.Relayed != all {
+		t.Errorf("%d attempts, but the server got %d", f.Relayed, all)
+	}
 	if seen["look200"] != 5 || seen["bill502"] != 2 || seen["look503"] != 2 {
 		t.Errorf("the traffic was not mixed: %v", seen)
 	}
