--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -131,6 +131,17 @@
 
 // startNodeAt starts it under an address.
 func startNodeAt(t *testing.T, addr string, s setup) *process {
+	t.Helper()
+	p := launch(t, addr, s)
+	eventually(t, "health", func() bool {
+		a, err := p.ask("GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		return err == nil && a.status == 200
+	})
+	return p
+}
+
+// launch starts the program and waits for nothing.
+func launch(t *testing.T, addr string, s setup) *process {
 	t.Helper()
 	p := &process{t: t, addr: addr, log: &logBuffer{}, done: make(chan struct{})}
 	p.cmd = exec.Command(program)
@@ -157,10 +168,6 @@
 			t.Errorf("data race in the node:\n%s", p.log)
 		}
 	})
-	eventually(t, "health", func() bool {
-		a, err := p.ask("GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-		return err == nil && a.status == 200
-	})
 	return p
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -55,10 +55,11 @@
 
 	running atomic.Bool
 
-	mu        sync.RWMutex
-	addresses map[logic.ServerID]string
-	source    *source
-	news      News
+	mu       sync.RWMutex
+	members  map[logic.ServerID]Member
+	revision int64
+	source   *source
+	news     News
 }
 
 // Options say how discovery is to be followed.
@@ -77,7 +78,7 @@
 		hold = min(hold, o.MustAsk/2)
 	}
 	c := &Catalog{hold: hold, ask: o.Subscribe, asked: make(chan struct{}, 1),
-		moved: make(chan struct{}, 1), log: o.Log, count: o.Count, addresses: map[logic.ServerID]string{},
+		moved: make(chan struct{}, 1), log: o.Log, count: o.Count, members: map[logic.ServerID]Member{},
 		source: newSource(o.Address)}
 	known.Complete = true
 	c.locate(known)
@@ -88,15 +89,26 @@
 func (c *Catalog) Address(id logic.ServerID) (string, bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	addr, ok := c.addresses[id]
-	return addr, ok
+	m, ok := c.members[id]
+	return m.HostPort, ok
 }
 
 // Size is the number of servers with an address.
 func (c *Catalog) Size() int {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return len(c.addresses)
+	return len(c.members)
+}
+
+// List is the whole list as held.
+func (c *Catalog) List() List {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := List{Revision: c.revision, Complete: true, Members: make([]Member, 0, len(c.members))}
+	for _, m := range c.members {
+		out.Members = append(out.Members, m)
+	}
+	return out
 }
 
 // Watch asks for the list to be followed. It does not wait.
@@ -243,14 +255,15 @@
 func (c *Catalog) locate(list List) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.revision = list.Revision
 	if list.Complete {
-		clear(c.addresses)
+		clear(c.members)
 	}
 	for _, m := range list.Members {
 		if m.Phase == "DELETED" {
-			delete(c.addresses, logic.ServerID(m.ID))
+			delete(c.members, logic.ServerID(m.ID))
 			continue
 		}
-		c.addresses[logic.ServerID(m.ID)] = m.HostPort
+		c.members[logic.ServerID(m.ID)] = m
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -141,6 +141,8 @@
 	server  logic.ServerID // with end: a probe's
 	list    *logic.ServerList
 	told    *logic.Told
+	event   logic.Event // anything else the module is to hear
+	between func()      // to be run between two decisions
 }
 
 // Options are what an engine works with.
@@ -185,6 +187,22 @@
 // Hear tells the module what another node told.
 func (e *Engine) Hear(m logic.Told) { e.post(message{told: &m}) }
 
+// Tell hands the module an event that concerns no request.
+func (e *Engine) Tell(event logic.Event) { e.post(message{event: event}) }
+
+// Between runs f between two decisions, on the goroutine that owns the module, and waits until it has run. It tells
+// whether it has: an engine that ends may not.
+func (e *Engine) Between(f func()) bool {
+	ran := make(chan struct{})
+	e.post(message{between: func() { defer close(ran); f() }})
+	select {
+	case <-ran:
+		return true
+	case <-e.stopped:
+		return false
+	}
+}
+
 func (e *Engine) post(m message) {
 	select {
 	case e.mailbox <- m:
@@ -269,6 +287,10 @@
 		e.step(*m.list)
 	case m.told != nil:
 		e.step(*m.told)
+	case m.event != nil:
+		e.step(m.event)
+	case m.between != nil:
+		m.between()
 	case m.end != nil:
 		e.count.Probes.Open.Add(-1)
 		e.count.ProbeOutcomes.Inc(ResultName(m.end.Result))
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -97,7 +97,13 @@
 	if _, taken := r.desk.open[r.taken.id]; taken {
 		return false
 	}
+	if _, taken := r.desk.beside[r.taken.id]; taken {
+		return false
+	}
 	r.desk.open[r.taken.id] = struct{}{}
+	if r.desk.tell != nil {
+		r.desk.tell(r.taken.id, true)
+	}
 	r.claimed = true
 	return true
 }
@@ -110,6 +116,9 @@
 	r.desk.mu.Lock()
 	defer r.desk.mu.Unlock()
 	delete(r.desk.open, r.taken.id)
+	if r.desk.tell != nil {
+		r.desk.tell(r.taken.id, false)
+	}
 }
 
 // parseHint reads microseconds into milliseconds; an odd hint counts as none.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -50,8 +50,10 @@
 	o       Options
 	classes map[string]logic.Class
 
-	mu   sync.Mutex
-	open map[string]struct{} // the ids of open requests, at most one for each client's connection
+	mu     sync.Mutex
+	open   map[string]struct{} // the ids of open requests, at most one for each client's connection
+	beside map[string]struct{} // those open at the node's other process, during an upgrade
+	tell   func(id string, open bool)
 }
 
 // NewDesk makes a desk.
@@ -63,6 +65,33 @@
 	return d
 }
 
+// TellIDs has the ids of requests told as they open and close, those open now first; nil ends it. Tell does not wait.
+// The ids that were heard of from the other process are forgotten.
+func (d *Desk) TellIDs(tell func(id string, open bool)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tell, d.beside = tell, map[string]struct{}{}
+	if tell != nil {
+		for id := range d.open {
+			tell(id, true)
+		}
+	}
+}
+
+// besideMost bounds the ids kept of the other process; it has one open request to a connection at most.
+const besideMost = 4096
+
+// HearID notes an id that the other process has opened or closed.
+func (d *Desk) HearID(id string, open bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !open {
+		delete(d.beside, id)
+	} else if len(d.beside) < besideMost && len(id) <= maxID {
+		d.beside[id] = struct{}{}
+	}
+}
+
 // Reasons with which an exchange ends its client's connection.
 const (
 	EndLeft  = "client_left"  // closed while its request was in hand
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -50,8 +50,8 @@
 // Serve accepts connections until a drain is over.
 func (s *Server) Serve(l *net.TCPListener) error {
 	for {
-		if s.draining() && s.drained() {
-			break
+		if s.draining() && (s.succeeded.Load() || s.drained()) {
+			break // the queue is the other process's too, or it is empty
 		}
 		if !s.room() {
 			s.o.Count.Clients.Paused.Inc()
@@ -75,10 +75,17 @@
 		}
 	}
 	err := l.Close()
-	s.await()
+	for !s.drained() && !s.cut.Load() { // with a successor: what has been taken in is still served here
+		time.Sleep(drainStep)
+	}
+	if !s.cut.Load() {
+		s.await()
+	}
 	return err
 }
 
+func (s *Server) limit() int { return int(s.most.Load()) }
+
 // await lets connections end, but not beyond a drain's time: what then is left is no whole request, or its
 // client does not read.
 func (s *Server) await() {
@@ -103,12 +110,12 @@
 	n := s.held()
 	switch {
 	case s.evicting.Load() > 0: // some are about to go
-	case n >= s.o.Most:
+	case n >= s.limit():
 		s.evict(0)
-	case n >= int(softShare*float64(s.o.Most)):
+	case n >= int(softShare*float64(s.limit())):
 		s.evict(idleLeast)
 	}
-	return n < s.o.Most
+	return n < s.limit()
 }
 
 // held is how many connections there are.
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -31,21 +31,26 @@
 	_ = l.SetDeadline(time.Now()) // wakes Serve; a broken listener shows there
 }
 
+// End ends at once what a drain would wait for.
+func (s *Server) End(l interface{ Close() error }) {
+	s.cut.Store(true)
+	_ = l.Close() // Serve returns; it may have closed it already
+}
+
 func (s *Server) draining() bool { return s.ending.Load() }
 
 // drained ends idle connections once nobody new comes, and tells whether all is answered.
 func (s *Server) drained() bool {
-	since := time.Since(s.began)
+	since, conns := time.Since(s.began), s.all()
 	if since < newFor {
-		return false
+		return len(conns) == 0 && s.succeeded.Load()
 	}
-	conns := s.all()
 	for _, c := range conns {
 		if d, ok := c.idleFor(); ok && (c.served() || d >= firstFor) {
 			c.doom(endDrained)
 		}
 	}
-	return len(conns) == 0 && since >= leastFor || since >= s.o.Grace+drainSlack
+	return len(conns) == 0 && (since >= leastFor || s.succeeded.Load()) || since >= s.o.Grace+drainSlack
 }
 
 // handDrain is a drain by hand, which may end: clients are sent elsewhere and the process runs on.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -39,7 +39,7 @@
 // Options are what a server works with.
 type Options struct {
 	Desk  Desk
-	Most  int           // connections
+	Most  int           // connections; SetMost changes it
 	Grace time.Duration // the longest deadline a client may set: what is taken is answered within it
 	Log   *slog.Logger
 	Count *counters.Counters
@@ -62,6 +62,10 @@
 	conns  map[*conn]struct{}
 	byHand *handDrain // nil: clients are welcome
 
+	most      atomic.Int64
+	cut       atomic.Bool // a second signal has come
+	succeeded atomic.Bool // another process takes the connections that come
+
 	evicting atomic.Int64 // connections told to make way that have not gone yet
 	open     sync.WaitGroup
 }
@@ -69,6 +73,7 @@
 // New makes a server.
 func New(o Options) *Server {
 	s := &Server{o: o, conns: map[*conn]struct{}{}}
+	s.SetMost(o.Most)
 	s.http = fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.unreadable,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
@@ -78,6 +83,13 @@
 	return s
 }
 
+// SetMost sets how many connections there may be. Beyond it those that stand idle make way; none is cut off.
+func (s *Server) SetMost(n int) { s.most.Store(int64(n)) }
+
+// Succeed says that another process takes connections in at the same queue, or no longer does. With a successor a drain
+// leaves the queue to it at once.
+func (s *Server) Succeed(on bool) { s.succeeded.Store(on) }
+
 // quiet drops fasthttp's own log: each connection's end has its line here.
 type quiet struct{}
 
@@ -153,7 +165,8 @@
 // health says whether clients should come. Listening and deciding begin together, so a node that can be asked
 // can serve.
 func (s *Server) health(ctx *fasthttp.RequestCtx) {
-	if s.draining() || s.Drained() {
+	// With a successor the node goes on, whichever of its processes is asked.
+	if s.draining() && !s.succeeded.Load() || s.Drained() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,9 @@
 	ingress *ingress.Server
 	door    *door.Door  // nil where staff have none
 	serving atomic.Bool // clients are taken in
+	upgrade *upgrade
+	legacy  atomic.Pointer[logic.State] // of the process before, until the list is told
+	each    int                         // connections on either side
 	ending  sync.WaitGroup
 
 	subsystems *part.Set // what the operator file turns on
@@ -88,7 +91,7 @@
 	for _, class := range set.Classes {
 		count.Operations[class.Name] = &counters.Operation{}
 	}
-	n := &node{known: c.Known, clock: clk, count: count, window: longestWindow(set)}
+	n := &node{each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set)}
 	n.catalog = catalog.New(catalog.Options{Address: c.Discovery, Subscribe: set.Subscribe,
 		MustAsk: clock.Span(set.MustAskIn), Log: log, Count: count}, c.Known)
 	n.roster = roster.New(n.catalog, lateNews{n})
@@ -135,7 +138,12 @@
 type lateNews struct{ n *node }
 
 // ListNews tells the module.
-func (l lateNews) ListNews(list logic.ServerList) { l.n.engine.ListNews(list) }
+func (l lateNews) ListNews(list logic.ServerList) {
+	l.n.engine.ListNews(list)
+	if from := l.n.legacy.Swap(nil); from != nil { // of servers that the module has heard of by now
+		l.n.engine.Tell(logic.Inherited{State: *from})
+	}
+}
 
 // Hear tells the module.
 func (l lateNews) Hear(m logic.Told) { l.n.engine.Hear(m) }
@@ -164,10 +172,16 @@
 func (n *node) Figures() []byte { return n.count.Figures() }
 
 // Drain sends clients elsewhere, and Undrain welcomes them again; the process runs on.
-func (n *node) Drain() { n.ingress.DrainByHand() }
+func (n *node) Drain() {
+	n.ingress.DrainByHand()
+	n.upgrade.tellDrain(true)
+}
 
 // Undrain ends the drain by hand.
-func (n *node) Undrain() { n.ingress.EndDrainByHand() }
+func (n *node) Undrain() {
+	n.ingress.EndDrainByHand()
+	n.upgrade.tellDrain(false)
+}
 
 // Roster, Clock, Window and Counters are what the inventory needs.
 func (n *node) Roster() *roster.Roster { return n.roster }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"math"
 	"net"
@@ -16,7 +15,7 @@
 	"tackhub.example/tackhub/internal/config"
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/door"
-	"tackhub.example/tackhub/internal/ingress"
+	"tackhub.example/tackhub/internal/handover"
 	"tackhub.example/tackhub/internal/logs"
 	"tackhub.example/tackhub/internal/part"
 )
@@ -56,15 +55,16 @@
 	if err != nil {
 		return err
 	}
-	n, err := newNode(c, log, count)
+	listener, heir, from, err := takeOver(&c, log)
 	if err != nil {
 		return err
 	}
-	n.subsystems = part.NewSet(Parts(), host(n, c, log, count))
-	listener, err := listen(c.Listen)
+	n, err := newNode(c, log, count)
 	if err != nil {
 		return err
 	}
+	n.upgrade = &upgrade{n: n, limits: c.Limits, log: log, heir: heir, out: make(chan handover.Message, tellQueue)}
+	n.subsystems = part.NewSet(Parts(), host(n, c, log, count))
 	if c.Operator != "" {
 		if n.door, err = door.Listen(c.Operator, n, log, count); err != nil {
 			return err
@@ -75,6 +75,7 @@
 		"sockets", c.Limits.Sockets)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	n.upgrade.begin(from)
 	n.start(ctx)
 	if file != nil {
 		change, err := n.subsystems.Take(ctx, file)
@@ -87,6 +88,7 @@
 	go n.onSignals(stop, listener, log)
 	go reportOn(ctx, report, log, count)
 	go n.reloadOn(ctx, reload, running, edge, log)
+	n.upgrade.serve(ctx, c.Listen, listener)
 	n.serving.Store(true)
 	err = n.ingress.Serve(listener)
 	n.subsystems.Stop()
@@ -107,7 +109,7 @@
 // system's own limit may be the lower one.
 func limit(l config.Limits) int {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
-	debug.SetMemoryLimit(int64(l.MemoryMB * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(l))
 	debug.SetGCPercent(gcPercent)
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
@@ -116,18 +118,8 @@
 	return int(min(uint64(l.Sockets), files.Cur))
 }
 
-func listen(address string) (*net.TCPListener, error) {
-	config := net.ListenConfig{Control: ingress.DeferAccept}
-	l, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("ROUTER_LISTEN: %w", err)
-	}
-	tcp, ok := l.(*net.TCPListener)
-	if !ok {
-		return nil, fmt.Errorf("ROUTER_LISTEN: %s gives no TCP listener", address)
-	}
-	return tcp, nil
-}
+// memoryLimit is the collector's, in bytes.
+func memoryLimit(l config.Limits) int64 { return int64(l.MemoryMB * memoryShare * (1 << 20)) }
 
 // onSignals drains at the first signal and ends at the second.
 func (n *node) onSignals(stop <-chan os.Signal, l *net.TCPListener, log *slog.Logger) {
@@ -137,7 +129,7 @@
 	log.Info("draining", "code", "drain", "signal", sig.String())
 	<-stop
 	log.Warn("ended by a second signal", "code", "end")
-	_ = l.Close() // Serve returns
+	n.ingress.End(l)
 }
 
 // reportOn writes the counters to the log whenever a signal asks for them.
--- /dev/null
+++ b/internal/node/upgrade.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"tackhub.example/tackhub/internal/catalog"
+	"tackhub.example/tackhub/internal/config"
+	"tackhub.example/tackhub/internal/handover"
+	"tackhub.example/tackhub/internal/ingress"
+	"tackhub.example/tackhub/logic"
+)
+
+// tellQueue bounds the messages to the other process that wait: some seconds of a busy node's ids. Beyond it they are
+// dropped; an id that is then not known there is one that no client sends twice.
+const tellQueue = 4096
+
+// legacy is what a process hands to the next.
+type legacy struct {
+	List    catalog.List `json:"list"`
+	Module  logic.State  `json:"module"`
+	Drained bool         `json:"drained"`
+}
+
+// upgrade is a node's part in the change from one process to the next. It is the node as either side of the handover
+// sees it.
+type upgrade struct {
+	n      *node
+	limits config.Limits
+	log    *slog.Logger
+	heir   *handover.Heir   // of the process before this one; nil at a plain start
+	keeper *handover.Keeper // for the next; nil where $TMPDIR has no place for it
+	out    chan handover.Message
+}
+
+// takeOver gets the clients' listener: from the process that serves, where there is one, else anew. What the process
+// before told of the list replaces what the configuration knows.
+func takeOver(c *config.Config, log *slog.Logger) (*net.TCPListener, *handover.Heir, *legacy, error) {
+	heir, err := fromOld(c.Listen)
+	if err == nil {
+		from := &legacy{}
+		raw, serr := heir.State()
+		if serr == nil {
+			serr = json.Unmarshal(raw, from)
+		}
+		if serr != nil { // it may start without: the listener is what clients need
+			log.Warn("the process before told nothing that can be read", "code", "handover_failed", "error", serr)
+			return heir.Listener, heir, nil, nil
+		}
+		if len(from.List.Members) > 0 {
+			c.Known = from.List
+		}
+		return heir.Listener, heir, from, nil
+	}
+	before := !errors.Is(err, handover.ErrNone)
+	if before {
+		log.Warn("nothing can be taken over, starting plainly", "code", "handover_failed", "error", err)
+	}
+	l, err := listen(c.Listen, before)
+	return l, nil, nil, err
+}
+
+func fromOld(address string) (*handover.Heir, error) {
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		return nil, handover.ErrNone
+	}
+	return handover.Take(dir, address)
+}
+
+// listen opens the clients' address. Beside a process that cannot hand over, both listen there for a while; without a
+// sign of one an address in use is somebody else's.
+func listen(address string, beside bool) (*net.TCPListener, error) {
+	if !beside {
+		probe, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("ROUTER_LISTEN: %w", err)
+		}
+		address = probe.Addr().String() // port 0 stays what it became
+		if err := probe.Close(); err != nil {
+			return nil, fmt.Errorf("ROUTER_LISTEN: %w", err)
+		}
+	}
+	config := net.ListenConfig{Control: func(network, address string, raw syscall.RawConn) error {
+		var err error
+		cerr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+		return errors.Join(cerr, err, ingress.DeferAccept(network, address, raw))
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_LISTEN: %w", err)
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, fmt.Errorf("ROUTER_LISTEN: %s gives no TCP listener", address)
+	}
+	return tcp, nil
+}
+
+// begin has the node be one of two processes, where it has taken over, before it hears of the list.
+func (u *upgrade) begin(from *legacy) {
+	if u.heir == nil {
+		return
+	}
+	u.Beside(true)
+	if from == nil {
+		return
+	}
+	u.n.legacy.Store(&from.Module)
+	if from.Drained {
+		u.n.ingress.DrainByHand()
+	}
+}
+
+// serve tells the process before that this one serves, and waits for the next.
+func (u *upgrade) serve(ctx context.Context, address string, clients *net.TCPListener) {
+	defer func() { u.n.ending.Go(func() { u.tell(ctx) }) }() // once both sides are known
+	if u.heir != nil {
+		if err := u.heir.Ready(); err != nil {
+			u.log.Warn("the process before has gone", "code", "handover_failed", "error", err)
+			u.heir.Close()
+			u.Beside(false)
+		} else {
+			u.log.Info("serving beside the process before", "code", "handover")
+			u.n.desk.TellIDs(u.tellID)
+			u.n.ending.Go(func() { u.hear(ctx) })
+		}
+	}
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		return
+	}
+	keeper, err := handover.Keep(dir, address, clients, u, u.log)
+	if err != nil {
+		u.log.Warn("the next version will not be able to take over", "code", "handover_failed", "error", err)
+		return
+	}
+	u.keeper = keeper
+	u.n.ending.Go(func() { keeper.Run(ctx) })
+}
+
+// hear takes the old process's messages until it has gone.
+func (u *upgrade) hear(ctx context.Context) {
+	stop := context.AfterFunc(ctx, u.heir.Close)
+	defer stop()
+	u.heir.Hear(u.Hear)
+	if ctx.Err() == nil {
+		u.Beside(false)
+		u.log.Info("the process before has ended", "code", "handover")
+	}
+}
+
+// Beside shares the node's limits and the module's parts with a second process, or has them whole again.
+func (u *upgrade) Beside(on bool) {
+	processes := 1
+	if on {
+		processes = 2
+	}
+	debug.SetMemoryLimit(memoryLimit(u.limits) / int64(processes))
+	u.n.ingress.SetMost(u.n.each / processes)
+	u.n.pool.Share(processes)
+	u.n.engine.Tell(logic.Beside{Processes: processes})
+	if !on {
+		u.n.ingress.Succeed(false)
+		u.n.desk.TellIDs(nil)
+	}
+}
+
+// State is what the next process gets.
+func (u *upgrade) State() (json.RawMessage, error) {
+	l := legacy{List: u.n.catalog.List(), Drained: u.n.ingress.Drained()}
+	if !u.n.engine.Between(func() { l.Module = u.n.watch.Snapshot() }) {
+		return nil, errors.New("the engine has ended")
+	}
+	return json.Marshal(l)
+}
+
+// Succeeded says that the next process serves.
+func (u *upgrade) Succeeded() {
+	u.n.ingress.Succeed(true)
+	u.n.desk.TellIDs(u.tellID)
+}
+
+// Hear takes what the other process tells.
+func (u *upgrade) Hear(m handover.Message) {
+	switch {
+	case m.Opened != "":
+		u.n.desk.HearID(m.Opened, true)
+	case m.Closed != "":
+		u.n.desk.HearID(m.Closed, false)
+	case m.Drained != nil && *m.Drained:
+		u.n.ingress.DrainByHand()
+	case m.Drained != nil:
+		u.n.ingress.EndDrainByHand()
+	}
+}
+
+// tellID queues an id for the other process. It does not wait.
+func (u *upgrade) tellID(id string, open bool) {
+	m := handover.Message{Closed: id}
+	if open {
+		m = handover.Message{Opened: id}
+	}
+	u.queue(m)
+}
+
+// tellDrain lets the other process know what staff said here: they speak of the node.
+func (u *upgrade) tellDrain(on bool) { u.queue(handover.Message{Drained: &on}) }
+
+func (u *upgrade) queue(m handover.Message) {
+	select {
+	case u.out <- m:
+	default:
+	}
+}
+
+// tell passes messages on to whichever process is beside this one.
+func (u *upgrade) tell(ctx context.Context) {
+	for {
+		select {
+		case m := <-u.out:
+			// Without anyone there it reaches nobody; one that is ending is noticed by its reader.
+			if u.keeper != nil && u.keeper.Tell(m) == nil || u.heir == nil {
+				continue
+			}
+			_ = u.heir.Tell(m)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -48,12 +48,20 @@
 	idle  map[logic.ServerID][]*conn // newest last
 	held  map[logic.ServerID]int     // connections, in use and idle
 	total int
+	parts int // processes that share the limits
 }
 
 // New makes a pool.
 func New(o Options) *Pool {
 	return &Pool{o: o, dialer: net.Dialer{Timeout: o.Connect, KeepAlive: -1},
-		idle: map[logic.ServerID][]*conn{}, held: map[logic.ServerID]int{}}
+		parts: 1, idle: map[logic.ServerID][]*conn{}, held: map[logic.ServerID]int{}}
+}
+
+// Share has the limits shared by so many processes. What is open beyond it ends as it falls idle.
+func (p *Pool) Share(processes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.parts = processes
 }
 
 // errRoom says that the limits allow no further connection.
@@ -116,17 +124,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.id] = append(p.idle[c.id], c)
+	if p.total <= p.o.Most/p.parts {
+		return
+	}
+	if victim := p.longestIdle(); victim != nil { // there is another process now
+		go p.end(victim, endEvicted, nil) // it takes the lock
+	}
 }
 
 // reserve makes room for a connection, at the cost of the one longest idle where the limit is reached.
 func (p *Pool) reserve(id logic.ServerID) bool {
 	p.mu.Lock()
-	if p.held[id] >= p.o.Each {
+	if p.held[id] >= max(2, p.o.Each/p.parts) {
 		p.mu.Unlock()
 		return false
 	}
 	var victim *conn
-	if p.total >= p.o.Most {
+	if p.total >= p.o.Most/p.parts {
 		if victim = p.longestIdle(); victim == nil {
 			p.mu.Unlock()
 			return false
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -60,6 +60,9 @@
 // Census and Changes are the module's.
 func (w *Watch) Census() (listed, avoided int) { return w.module.Census() }
 
+// Snapshot is what the module knows.
+func (w *Watch) Snapshot() logic.State { return w.module.Snapshot() }
+
 // Changes is how often the list, or what is excluded of it, has changed.
 func (w *Watch) Changes() int { return w.module.Changes() }
 
--- /dev/null
+++ b/logic/handover.go
@@ -0,0 +1,132 @@
+package logic
+
+// What two processes that are one node during an upgrade tell each other, and plain bookkeeping over it. No decisions:
+// those are in logic.go.
+
+// Beside says of how many processes this node is made now: two during an upgrade, else one.
+type Beside struct{ Processes int }
+
+// Inherited is what the process before this one knew, of servers that this one has in its list.
+type Inherited struct{ State State }
+
+func (Beside) event()    {}
+func (Inherited) event() {}
+
+// State is what a node knows, in a form that another process can read. Times are the node's clock's: Unix milliseconds.
+type State struct {
+	Unit, Pace, Width, Lag, HintMean, Crowd, ProbeTook, Ease, Retries, Probes float64
+
+	Servers []ServerRecord
+	Classes map[string]ClassRecord
+	Tenants map[string]TenantRecord
+}
+
+// ServerRecord is what a node knows of one server.
+type ServerRecord struct {
+	ID                                          ServerID
+	Started, Latency, Unit, OutcomeAt, FailedAt float64
+	Seen, Excluded                              bool
+	TrialAt, Score, Others, OthersAvg, ReportAt float64
+	Failures                                    int
+	Ok, Fail                                    []int // by second of the error window
+	Seconds                                     []int64
+	Recent                                      []bool // oldest first
+	Budget, BudgetAt                            float64
+	Bad, BadAt                                  map[string]float64 // by class
+}
+
+// ClassRecord is what was asked for and served of a class.
+type ClassRecord struct{ Asked, Served, At, LongestTry float64 }
+
+// TenantRecord is what was asked for and served of a tenant, and its rate.
+type TenantRecord struct{ Asked, Served, At, Rate, RateAt, Quota, QuotaAt float64 }
+
+// Snapshot is what the node knows. What is left of a cold server's budget is split evenly between the two processes once
+// Beside has told of both, so that they cannot spend it twice.
+func (l *Logic) Snapshot() State {
+	s := State{Unit: l.unit, Pace: l.pace, Width: l.width, Lag: l.lag, HintMean: l.hintMean, Crowd: l.crowd,
+		ProbeTook: l.probeTook, Ease: l.ease, Retries: l.retries.left, Probes: l.probes.left,
+		Classes: map[string]ClassRecord{}, Tenants: map[string]TenantRecord{}}
+	for name, c := range l.classes {
+		s.Classes[name] = ClassRecord{c.asked, c.served, c.at, c.longestTry}
+	}
+	for name, t := range l.tenants {
+		s.Tenants[name] = TenantRecord{t.asked, t.served, t.at, t.rate, t.rateAt, t.quota.left, t.quota.at}
+	}
+	for _, o := range l.known {
+		r := ServerRecord{ID: o.ID, Started: o.Started, Latency: o.latency, Unit: o.unit, OutcomeAt: o.outcomeAt,
+			FailedAt: o.failedAt, Seen: o.seen, Excluded: o.excluded, TrialAt: o.trialAt, Score: o.score, Others: o.others,
+			OthersAvg: o.othersAvg, ReportAt: o.reportAt, Failures: o.failures, Budget: o.budget.left, BudgetAt: o.budget.at,
+			Bad: map[string]float64{}, BadAt: map[string]float64{}}
+		for _, b := range o.buckets {
+			r.Ok, r.Fail, r.Seconds = append(r.Ok, b.ok), append(r.Fail, b.fail), append(r.Seconds, b.index)
+		}
+		for i := range o.recentLen {
+			r.Recent = append(r.Recent, o.recent[(o.recentPos-o.recentLen+i+recentCount)%recentCount])
+		}
+		for name, c := range l.classes {
+			if h := o.class(c); h.tried {
+				r.Bad[name], r.BadAt[name] = h.bad, h.at
+			}
+		}
+		s.Servers = append(s.Servers, r)
+	}
+	return s
+}
+
+// beside makes this process one of so many with the same part of all: what a node may send a cold server, and the odd
+// request that finds out whether a slowdown is over, is shared by the nodes, and a node's part by its processes.
+func (l *Logic) beside(processes int) {
+	if l.processes == processes || processes < 1 {
+		return
+	}
+	l.set.Nodes = l.set.Nodes / l.processes * processes
+	if processes > l.processes { // what is left is split; it does not double when there is one again
+		for _, s := range l.known {
+			s.budget.left *= float64(l.processes) / float64(processes)
+		}
+	}
+	l.processes = processes
+}
+
+// inherit takes over what is known of servers that have not started anew since.
+func (l *Logic) inherit(from State) {
+	l.unit, l.pace, l.width, l.lag, l.hintMean = from.Unit, from.Pace, from.Width, from.Lag, from.HintMean
+	l.crowd, l.probeTook, l.ease = from.Crowd, from.ProbeTook, from.Ease
+	l.retries.left, l.probes.left = from.Retries, from.Probes
+	for name, r := range from.Classes {
+		if c := l.classes[name]; c != nil {
+			c.share, c.longestTry = share{r.Asked, r.Served, r.At}, r.LongestTry
+		}
+	}
+	for name, r := range from.Tenants {
+		if t := l.tenants[name]; t != nil {
+			t.share, t.rate, t.rateAt = share{r.Asked, r.Served, r.At}, r.Rate, r.RateAt
+			t.quota = tokens{r.Quota, r.QuotaAt}
+		}
+	}
+	for _, r := range from.Servers {
+		s := l.servers[r.ID]
+		if s == nil || s.Started != r.Started {
+			continue
+		}
+		s.latency, s.unit, s.seen, s.outcomeAt, s.failedAt = r.Latency, r.Unit, r.Seen, r.OutcomeAt, r.FailedAt
+		s.excluded, s.trialAt, s.score, s.failures = r.Excluded, r.TrialAt, r.Score, r.Failures
+		s.others, s.othersAvg, s.reportAt = r.Others, r.OthersAvg, r.ReportAt
+		s.budget, s.lookedAt = tokens{r.Budget, r.BudgetAt}, -1
+		for i := range min(len(r.Ok), len(r.Fail), len(r.Seconds), bucketCount) {
+			s.buckets[i] = bucket{r.Seconds[i], r.Ok[i], r.Fail[i]}
+		}
+		s.recentLen, s.recentPos = 0, 0
+		for _, good := range r.Recent[:min(len(r.Recent), recentCount)] {
+			s.recent[s.recentPos] = good
+			s.recentPos, s.recentLen = (s.recentPos+1)%recentCount, s.recentLen+1
+		}
+		for name, bad := range r.Bad {
+			if c := l.classes[name]; c != nil {
+				*s.class(c) = classHealth{bad, true, r.BadAt[name]}
+			}
+		}
+	}
+	l.listed++
+}
--- /dev/null
+++ b/logic/handover_test.go
@@ -0,0 +1,82 @@
+package logic
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// TestTwoProcessesShareAColdServersBudget holds what an old and a new process may send a cold server, by now and in the
+// time to come, against what one may.
+func TestTwoProcessesShareAColdServersBudget(t *testing.T) {
+	set := Settings{Nodes: 3, Classes: []Class{{Name: "look", Aim: 90, HardLimit: 100, Worth: 1}}, DrainGrace: 2000,
+		ColdFrom: 0.2, ColdFor: 9000, FallMultiple: 3, FallFor: 3000, MaxAttempts: 1, Goal: Goal{Whole: 1}}
+	list := ServerList{Form: ListFull, Entries: []ServerEntry{{ID: "cold", Size: 1, Started: 1}}}
+	begin := func(seed uint64, left float64) *Logic {
+		l, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Step(10, list)
+		l.servers["cold"].budget.left = left
+		return l
+	}
+	rate := func(l *Logic) float64 { return l.coldRate(l.servers["cold"]) }
+	alone, old, next := begin(1, 6), begin(2, 6), begin(3, 0.7)
+	old.Step(10, Beside{2})
+	old.Step(10, Beside{2}) // told twice
+	raw, err := json.Marshal(old.Snapshot())
+	var state State
+	if err == nil {
+		err = json.Unmarshal(raw, &state)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Step(10, Beside{2})
+	next.Step(10, Inherited{state})
+	if left := old.servers["cold"].budget.left + next.servers["cold"].budget.left; left != 6 {
+		t.Errorf("one process had 6 left, two have %v", left)
+	}
+	if both := rate(old) + rate(next); both > rate(alone)*1.0001 || both < rate(alone)*0.9999 {
+		t.Errorf("two processes get %v a millisecond, one alone %v", both, rate(alone))
+	}
+	if next.Step(10, Beside{1}); rate(next) != rate(alone) || next.servers["cold"].budget.left > 3 {
+		t.Errorf("alone again: %v a millisecond, %v left", rate(next), next.servers["cold"].budget.left)
+	}
+}
+
+func TestInheritedIsWhatWasKnown(t *testing.T) {
+	set := Settings{Nodes: 1, Classes: []Class{{Name: "look", Aim: 90, HardLimit: 300, Worth: 1}}, DrainGrace: 2000,
+		ColdFrom: 0.2, ColdFor: 9000, FallMultiple: 3, FallFor: 1000, MaxAttempts: 3, Goal: Goal{Whole: 1}}
+	list := ServerList{Form: ListFull, Entries: []ServerEntry{{ID: "a", Size: 1}, {ID: "b", Size: 1, Started: 5}}}
+	made := func(seed uint64) *Logic {
+		l, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Step(1, list)
+		return l
+	}
+	old := made(1)
+	a := old.servers["a"]
+	a.excluded, a.trialAt, a.unit, a.failures = true, 10_000, 17, 3
+	for i := range recentCount + 3 {
+		a.note(float64(100*i), i%3 == 0)
+	}
+	old.servers["b"].unit = 99
+	state := old.Snapshot()
+	next := made(2)
+	next.servers["b"].Started = 7 // it has started anew since
+	next.Step(2, Inherited{state})
+	n := next.servers["a"]
+	if !n.excluded || n.trialAt != 10_000 || n.unit != 17 || n.failures != 3 || n.recentRate() != a.recentRate() ||
+		n.errorRate(2000) != a.errorRate(2000) {
+		t.Errorf("inherited %+v, known %+v", n, a)
+	}
+	if next.servers["b"].unit == 99 {
+		t.Error("a server that started anew was given its past")
+	}
+	if listed, avoided := next.Census(); listed != 2 || avoided != 1 {
+		t.Errorf("%d listed, %d avoided", listed, avoided)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	source := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
-	l := &Logic{set: set, source: source, rng: rand.New(source),
+	l := &Logic{set: set, processes: 1, source: source, rng: rand.New(source),
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
 		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{},
@@ -135,6 +135,10 @@
 		l.serverList(e)
 	case Told:
 		l.hear(e)
+	case Beside:
+		l.beside(e.Processes)
+	case Inherited:
+		l.inherit(e.State)
 	}
 	l.tell()
 	return l.out
@@ -244,19 +248,6 @@
 	l.known[slices.Index(l.known, s)] = fresh
 }
 
-// newcomer starts a server at the others' mean score.
-func (l *Logic) newcomer(s *server) {
-	sum, n := 0.0, 0.0
-	for _, o := range l.list {
-		if o != s {
-			sum, n = sum+o.score, n+1
-		}
-	}
-	if s.score = 1; n > 0 {
-		s.score = sum / n
-	}
-}
-
 // coldRate is the cost per millisecond that this node may send a cold server: its part of the
 // budget, had every node sent as much; the others' windows are taken to be as long as ours.
 // Everything sent counts, refused work too. Where a node's part is under one request its phase rations.
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,6 +12,7 @@
 // Logic decides for one node. It is pure: time and chance come in through Step and New.
 type Logic struct {
 	set            Settings
+	processes      int       // that make this node
 	source         *rand.PCG // of the chance
 	rng            *rand.Rand
 	now            Millis
@@ -515,3 +516,16 @@
 
 // Changes is how often the list, or what is excluded of it, has changed.
 func (l *Logic) Changes() int { return l.listed }
+
+// newcomer starts a server at the others' mean score.
+func (l *Logic) newcomer(s *server) {
+	sum, n := 0.0, 0.0
+	for _, o := range l.list {
+		if o != s {
+			sum, n = sum+o.score, n+1
+		}
+	}
+	if s.score = 1; n > 0 {
+		s.score = sum / n
+	}
+}
