--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -324,6 +324,7 @@
 	List       map[string]int `json:"list"`
 	Inventory  map[string]int `json:"inventory"`
 	Log        map[string]int `json:"log_lines"`
+	Bodies     map[string]int `json:"large_bodies"`
 	Watch      struct {
 		Steps  int            `json:"steps"`
 		Differ map[string]int `json:"differ"`
--- a/cmd/tackhub/standins_test.go
+++ b/cmd/tackhub/standins_test.go
@@ -43,6 +43,7 @@
 	id   string
 	addr string
 	l    net.Listener
+	also *server // requests there count as well
 
 	mu     sync.Mutex
 	act    reply
@@ -146,6 +147,13 @@
 }
 
 func (s *server) requests() []got {
+	if s.also != nil {
+		return append(s.own(), s.also.own()...)
+	}
+	return s.own()
+}
+
+func (s *server) own() []got {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]got(nil), s.seen...)
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -80,6 +80,17 @@
 	return &Operation{}
 }
 
+// Bodies are the counts of what large bodies take.
+type Bodies struct {
+	Files     Count `json:"files"`      // of requests, now
+	FileBytes Count `json:"file_bytes"` // in them
+	Buffers   Count `json:"buffers"`    // of 32 KiB, in use now
+	Waited    Count `json:"waited"`     // times a sender was held up for room
+	Refused   Count `json:"refused"`    // times no room came free in time
+	Passed    Count `json:"passed"`     // large answers passed on whole
+	Broken    Count `json:"broken"`     // large answers that ended before they were whole
+}
+
 // Coap are the counts of the CoAP front. Requests that it takes are counted among the node's requests as well.
 type Coap struct {
 	Datagrams   Count `json:"datagrams"`
@@ -138,7 +149,8 @@
 		Entries Count `json:"entries"` // servers in the list as the module has it
 		Avoided Count `json:"avoided"` // of these, the ones that get nothing in the ordinary way
 	} `json:"registry"`
-	Door struct {
+	Bodies Bodies `json:"large_bodies"`
+	Door   struct {
 		Calls   Count `json:"calls"`   // answered 2xx
 		Refused Group `json:"refused"` // calls answered otherwise, by status
 		Open    Count `json:"open"`    // callers now
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -34,13 +34,29 @@
 	Result  logic.Result
 	Elapsed logic.Millis
 	Load    logic.Load
-	Body    []byte
+	Body    []byte // of a served one, or the first of it
+	Rest    Rest   // what is still to come of it; nil where it is whole
+}
+
+// Rest is the part of a large answer that is still coming. Whoever gets it closes it.
+type Rest interface {
+	Size() int64 // of the whole body in bytes, -1 where it is not told
+	Read([]byte) (int, error)
+	Close()
+}
+
+// discard lets go of an answer that nobody gets.
+func (e End) discard() {
+	if e.Rest != nil {
+		e.Rest.Close()
+	}
 }
 
 // Answer is a request's final answer.
 type Answer struct {
 	Kind       AnswerKind
-	Body       []byte       // of a served one
+	Body       []byte       // of a served one, or the first of it
+	Rest       Rest         // what is still to come of it; nil where it is whole
 	RetryAfter logic.Millis // of a refused one; 0: no indication
 }
 
@@ -64,9 +80,19 @@
 // Copy is one copy of a request for a server.
 type Copy struct {
 	Bytes []byte
+	Body  Body   // what follows the bytes; nil for none
 	Wrote func() // called once when the last byte has been written; nil where nobody asks
 }
 
+// Body is a large body that is kept outside memory.
+type Body interface {
+	Size() int64 // in bytes
+	Retain()     // it stays until one more Release
+	Release()
+	// Pieces gives it piece by piece, each valid during the call, the last one marked.
+	Pieces(each func(piece []byte, last bool) error) error
+}
+
 // Written tells that the last byte has been written.
 func (c Copy) Written() {
 	if c.Wrote != nil {
@@ -280,6 +306,7 @@
 	case m.attempt != nil:
 		if !m.attempt.open {
 			e.count.Attempts.Late.Inc()
+			m.end.discard()
 			return
 		}
 		e.ended(m.attempt, *m.end)
@@ -337,8 +364,10 @@
 	c.open--
 	e.count.Attempts.Open.Add(-1)
 	e.count.Outcomes.Inc(ResultName(end.Result))
-	if end.Result == logic.OK {
-		e.finish(c, Answer{Kind: Served, Body: end.Body})
+	if end.Result == logic.OK && !c.closed {
+		e.finish(c, Answer{Kind: Served, Body: end.Body, Rest: end.Rest})
+	} else {
+		end.discard()
 	}
 	e.step(logic.AttemptEnd{ID: c.id, Attempt: a.n, Server: a.server, Result: end.Result, Elapsed: end.Elapsed,
 		Closed: c.closed, Load: end.Load})
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -42,7 +42,7 @@
 		return &rejection{fasthttp.StatusMethodNotAllowed, "wrong_method"}
 	case class.Effect == logic.Keyed && !t.hasKey:
 		return &rejection{fasthttp.StatusBadRequest, "no_key"}
-	case t.method == fasthttp.MethodGet && len(t.body) > 0:
+	case t.method == fasthttp.MethodGet && t.hasBody():
 		return &rejection{fasthttp.StatusBadRequest, "body_with_get"}
 	}
 	wait, ok := parseDeadline(t.deadline)
@@ -115,6 +115,7 @@
 	}
 	r.desk.mu.Lock()
 	defer r.desk.mu.Unlock()
+	r.claimed = false
 	delete(r.desk.open, r.taken.id)
 	if r.desk.tell != nil {
 		r.desk.tell(r.taken.id, false)
--- a/internal/exchange/book.go
+++ b/internal/exchange/book.go
@@ -6,9 +6,17 @@
 	"tackhub.example/tackhub/internal/engine"
 )
 
-// book writes the answer and counts the request's one ending.
+// book writes the answer and counts the ending; a large answer counts once it has been passed on.
 func (r *request) book(ctx *fasthttp.RequestCtx, e ending) {
+	if e.passing != nil { // counts its own ending
+		return
+	}
 	e.write(ctx)
+	r.count(e)
+}
+
+// count counts the request's one ending.
+func (r *request) count(e ending) {
 	c := &r.desk.o.Count.Requests
 	c.Open.Add(-1)
 	r.bookClass(e)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/engine"
@@ -39,6 +40,7 @@
 	Router  Router
 	Send    Sender
 	Clock   clock.Clock
+	Bodies  *body.Store
 	Classes []logic.Class
 	Slack   logic.Millis // how late after its deadline an answer still counts
 	Log     *slog.Logger
@@ -110,6 +112,9 @@
 	ticket  engine.Ticket
 	routed  bool
 	claimed bool // its id is on the desk's list
+
+	mu      sync.Mutex
+	dropped bool // nobody waits for the answer
 }
 
 // Serve takes one request through all stages. A panic in it ends this request and its connection only.
@@ -117,11 +122,16 @@
 	r := &request{desk: d, answer: make(chan engine.Answer, 1)}
 	d.o.Count.Requests.Taken.Inc()
 	d.o.Count.Requests.Open.Inc()
-	defer r.release()
+	passing := false
+	defer func() {
+		if !passing { // else the answer's end is the request's
+			r.release()
+		}
+	}()
 	defer func() {
 		if p := recover(); p != nil {
 			d.o.Log.Error("panic in a request", "code", EndPanic, "panic", p, "stack", string(debug.Stack()))
-			r.abandon()
+			r.drop()
 			client.Ends(EndPanic)
 			ctx.SetConnectionClose()
 			r.book(ctx, ending{status: fasthttp.StatusBadGateway})
@@ -138,7 +148,9 @@
 		return
 	}
 	r.route()
-	r.book(ctx, r.relay(ctx, client))
+	e := r.relay(ctx, client)
+	passing = e.passing != nil
+	r.book(ctx, e)
 }
 
 // abandon withdraws a request that no answer can be given to any more.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -88,3 +88,12 @@
 		}
 	}
 }
+
+func TestOriginForm(t *testing.T) {
+	for target, want := range map[string]string{"/look?x=1": "/look?x=1", "http://h/look?x=1": "/look?x=1", "HTTPS://h:1/look": "/look",
+		"http:///look": "http:///look", "http://h": "http://h", "http://h?/look": "http://h?/look", "*": "*", "": ""} {
+		if got := originForm([]byte(target)); string(got) != want {
+			t.Errorf("%q becomes %q", target, got)
+		}
+	}
+}
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -28,6 +28,7 @@
 	rejected   string // why it was not admitted
 	left       bool
 	overdue    bool
+	passing    *passing // a large answer, which is still coming
 }
 
 // relay waits for the final answer. It ends early when the client leaves, and by a guard should the module
@@ -40,14 +41,17 @@
 	defer guard.Stop()
 	select {
 	case a := <-r.answer:
+		if a.Rest != nil {
+			return r.pass(ctx, client, a)
+		}
 		return endingOf(a)
 	case <-left:
-		r.abandon()
+		r.drop()
 		client.Ends(EndLeft)
 		ctx.SetConnectionClose()
 		return ending{status: statusLeft, left: true}
 	case <-guard.C:
-		r.abandon()
+		r.drop()
 		return ending{status: fasthttp.StatusGatewayTimeout, kind: engine.TimedOut, overdue: true}
 	}
 }
--- a/internal/exchange/route.go
+++ b/internal/exchange/route.go
@@ -19,4 +19,27 @@
 }
 
 // Finish takes the module's final answer; the engine calls it once.
-func (r *request) Finish(a engine.Answer) { r.answer <- a }
+func (r *request) Finish(a engine.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dropped && a.Rest != nil {
+		a.Rest.Close()
+		return
+	}
+	r.answer <- a
+}
+
+// drop withdraws the request; an answer that crosses it is let go of.
+func (r *request) drop() {
+	r.abandon()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropped = true
+	select {
+	case a := <-r.answer:
+		if a.Rest != nil {
+			a.Rest.Close()
+		}
+	default:
+	}
+}
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -12,6 +12,7 @@
 type outgoing struct {
 	head    []byte // request line and fields, without the closing line
 	body    []byte
+	large   engine.Body // follows head in place of body
 	expires logic.Millis
 }
 
@@ -32,10 +33,10 @@
 		}
 		head = append(append(append(append(head, name...), ": "...), value...), "\r\n"...)
 	}
-	if len(t.body) > 0 || t.method == "POST" {
-		head = append(strconv.AppendInt(append(head, "Content-Length: "...), int64(len(t.body)), 10), "\r\n"...)
+	if t.hasBody() || t.method == "POST" {
+		head = append(strconv.AppendInt(append(head, "Content-Length: "...), t.size(), 10), "\r\n"...)
 	}
-	return outgoing{head: head, body: append([]byte(nil), t.body...), expires: expires}
+	return outgoing{head: head, body: append([]byte(nil), t.body...), large: t.large, expires: expires}
 }
 
 // bytes are one copy, telling the server how long the node will wait.
@@ -49,5 +50,5 @@
 // Send starts an attempt; the engine calls it for each of the module's sends.
 func (r *request) Send(server logic.ServerID, wait logic.Millis, done func(engine.End)) engine.Attempt {
 	relayed := &r.desk.o.Count.Operations.For(r.class.Name).Relayed
-	return r.desk.o.Send(server, engine.Copy{Bytes: r.wire.bytes(wait), Wrote: relayed.Inc}, done)
+	return r.desk.o.Send(server, engine.Copy{Bytes: r.wire.bytes(wait), Body: r.wire.large, Wrote: relayed.Inc}, done)
 }
--- a/internal/exchange/takein.go
+++ b/internal/exchange/takein.go
@@ -1,9 +1,12 @@
 package exchange
 
 import (
+	"bytes"
+
 	"github.com/valyala/fasthttp"
 
 	"tackhub.example/tackhub/internal/clock"
+	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -33,6 +36,7 @@
 	hint     string
 	header   *fasthttp.RequestHeader
 	body     []byte
+	large    engine.Body // in place of body where it is kept in a file
 }
 
 // takeIn notes when the request came and what it says. It judges nothing.
@@ -42,7 +46,7 @@
 	return taken{
 		at:       c.At(client.LastRead()),
 		method:   string(h.Method()),
-		uri:      h.RequestURI(),
+		uri:      originForm(h.RequestURI()),
 		id:       string(h.Peek(headID)),
 		class:    string(h.Peek(headClass)),
 		tenant:   string(h.Peek(headTenant)),
@@ -53,5 +57,20 @@
 		hint:     string(h.Peek(headHint)),
 		header:   h,
 		body:     ctx.Request.Body(),
+		large:    large(client),
+	}
+}
+
+// originForm is a target as servers get it: a client may name the scheme and the host as well (RFC 9112, 3.2.2).
+func originForm(target []byte) []byte {
+	for _, scheme := range []string{"http://", "https://"} {
+		if len(target) < len(scheme) || !bytes.EqualFold(target[:len(scheme)], []byte(scheme)) {
+			continue
+		}
+		rest := target[len(scheme):]
+		if at := bytes.IndexAny(rest, "/?#"); at > 0 && rest[at] == '/' {
+			return rest[at:]
+		}
 	}
+	return target
 }
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -163,7 +163,7 @@
 		return
 	}
 	if !c.waiting() { // the kernel has kept it: it has been silent for as long
-		c.since = c.since.Add(-deferFor)
+		c.since, c.began = c.since.Add(-deferFor), c.began.Add(-deferFor)
 	}
 	s.o.Count.Clients.Opened.Inc()
 	s.o.Count.Clients.Open.Inc()
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/exchange"
 )
 
@@ -55,6 +56,10 @@
 	lastRead time.Time
 	since    time.Time // idle since
 	requests int
+	began    time.Time // the request that is coming or in hand
+	busy     bool      // a request has its head, and not yet its answer
+
+	large *body.File // of the request in hand; the connection's goroutine alone has it
 }
 
 func newConn(nc *net.TCPConn, s *Server) (*conn, error) {
@@ -63,7 +68,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	return &conn{Conn: nc, raw: raw, server: s, opened: now, since: now, lastRead: now, idle: true}, nil
+	return &conn{Conn: nc, raw: raw, server: s, opened: now, began: now, since: now, lastRead: now, idle: true}, nil
 }
 
 // Read notes the time of what comes and why nothing comes any more.
@@ -73,7 +78,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle() && c.waiting() {
 		// The request crossed our closing, for a drain, for room or after the idle time: it is here, so it is
 		// taken.
-		if derr := c.Conn.SetReadDeadline(time.Now().Add(readTimeout)); derr == nil {
+		if derr := c.Conn.SetReadDeadline(time.Now().Add(headTime)); derr == nil {
 			n, err = c.Conn.Read(p)
 		}
 	}
@@ -84,6 +89,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
+		if c.idle && c.requests > 0 { // the first one's time runs from the connection's beginning
+			c.began = came
+		}
 		c.idle, c.lastRead = false, came
 		return n, err
 	}
@@ -150,7 +158,9 @@
 
 // Write notes a failure: the client did not get its answer.
 func (c *conn) Write(p []byte) (int, error) {
+	derr := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := c.Conn.Write(p)
+	err = errors.Join(err, derr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -203,9 +213,22 @@
 	if c.doomed != "" && c.idle {
 		return nil
 	}
+	if first := c.began.Add(headTime); c.requests == 0 && t.After(first) {
+		t = first // the kernel may have kept it for a part of its time
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline does nothing: each write has its own, since a large answer may take long in all.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+// Reset has the connection end in a way that the client can tell from a whole answer's end.
+func (c *conn) Reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it fails on a connection that is broken anyway
+	}
+}
+
 // doomedFor tells whether the connection was told to end for a reason.
 func (c *conn) doomedFor(reason string) bool {
 	c.mu.Lock()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -11,24 +11,19 @@
 
 	"github.com/valyala/fasthttp"
 
+	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/exchange"
 )
 
 const (
-	// readTimeout bounds a request's arrival and the wait for a connection's first one: who says nothing, or half
-	// of something, is to be told or closed within 3 s of connecting, of which the kernel may keep one.
-	readTimeout = 1700 * time.Millisecond
-
-	// writeTimeout bounds the writing of an answer to a client that does not read.
+	// writeTimeout bounds the writing of one piece of an answer: a client that takes nothing for so long does not read.
 	writeTimeout = 3 * time.Second
 
 	// idleTimeout is how long a client's connection may stand between requests: by the operators' page it may go
 	// after 2 s. Clients that ask once and stay would else hold a descriptor and buffers each for good.
 	idleTimeout = 3 * time.Second
 
-	maxBody = 64 << 10 // the protocol's
-
 	// maxHead bounds a request's line and fields; it is also each connection's read buffer.
 	maxHead = 8 << 10
 
@@ -38,11 +33,12 @@
 
 // Options are what a server works with.
 type Options struct {
-	Desk  Desk
-	Most  int           // connections; SetMost changes it
-	Grace time.Duration // the longest deadline a client may set: what is taken is answered within it
-	Log   *slog.Logger
-	Count *counters.Counters
+	Desk   Desk
+	Bodies *body.Store
+	Most   int           // connections; SetMost changes it
+	Grace  time.Duration // the longest deadline a client may set: what is taken is answered within it
+	Log    *slog.Logger
+	Count  *counters.Counters
 }
 
 // Desk serves requests.
@@ -75,9 +71,9 @@
 	s := &Server{o: o, conns: map[*conn]struct{}{}}
 	s.SetMost(o.Most)
 	s.http = fasthttp.Server{
-		Handler: s.handle, ErrorHandler: s.unreadable,
-		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
-		MaxRequestBodySize: maxBody, ReadBufferSize: maxHead, DisablePreParseMultipartForm: true, NoDefaultServerHeader: true,
+		Handler: s.handle, ErrorHandler: s.unreadable, HeaderReceived: headCame,
+		ReadTimeout: headTime, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		StreamRequestBody: true, MaxRequestBodySize: body.Small, ReadBufferSize: maxHead, DisablePreParseMultipartForm: true, NoDefaultServerHeader: true,
 		NoDefaultDate: true, NoDefaultContentType: true, Logger: quiet{},
 	}
 	return s
@@ -90,6 +86,19 @@
 // leaves the queue to it at once.
 func (s *Server) Succeed(on bool) { s.succeeded.Store(on) }
 
+// tooLarge marks a request that announced more than there may be. A client that sets it itself is told the same.
+const tooLarge = "Tackhub-Too-Large"
+
+// headCame looks at a head before anything of the body is waited for: a length that will not be read is told at once.
+func headCame(h *fasthttp.RequestHeader) (none fasthttp.RequestConfig) {
+	if h.ContentLength() > body.Most {
+		h.SetContentLength(0)
+		h.Del(fasthttp.HeaderExpect)
+		h.Set(tooLarge, "1")
+	}
+	return none
+}
+
 // quiet drops fasthttp's own log: each connection's end has its line here.
 type quiet struct{}
 
@@ -138,21 +147,29 @@
 	}
 	c.mu.Lock()
 	c.requests++
+	c.busy = true
 	c.mu.Unlock()
+	defer c.dropBody()
 	bad := badFraming(&ctx.Request.Header)
 	switch uri := string(ctx.Request.Header.RequestURI()); {
 	case bad != "":
 		s.refuse(ctx, c, fasthttp.StatusBadRequest, bad)
+	case len(ctx.Request.Header.Peek(tooLarge)) > 0:
+		s.refuse(ctx, c, fasthttp.StatusRequestEntityTooLarge, "body_too_large")
 	case uri == healthPath:
 		s.health(ctx)
 	case uri == countersPath:
 		ctx.SetContentType("application/json")
 		ctx.SetBody(s.o.Count.JSON())
 	default:
+		if status, code := s.receive(ctx, c); code != "" {
+			s.refuse(ctx, c, status, code)
+			break
+		}
 		s.o.Desk.Serve(ctx, c)
 	}
 	c.mu.Lock()
-	c.handled = true
+	c.handled, c.busy = true, false
 	c.mu.Unlock()
 	if ctx.Request.Header.ConnectionClose() {
 		c.Ends(exchange.EndAsked)
@@ -176,8 +193,6 @@
 	status, code := fasthttp.StatusBadRequest, "unreadable"
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status, code = fasthttp.StatusRequestEntityTooLarge, "body_too_large"
 	case errors.As(err, &small):
 		status, code = fasthttp.StatusRequestHeaderFieldsTooLarge, "head_too_large"
 	case isTimeout(err):
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/catalog"
 	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/coap/back"
@@ -36,6 +38,13 @@
 	// eachShare of the servers' connections may lead to one server: one that hangs must not take them all.
 	eachShare = 0.25
 
+	// filesPer descriptors one may be the file of a large request, and fewestFiles there are at the least. Requests that
+	// large are few beside the rest, and who finds none free waits.
+	filesPer, fewestFiles = 32, 4
+
+	// bodyShare of the memory may be buffers of large answers on their way, and of large requests.
+	bodyShare = 0.125
+
 	// defaultConnect is the limit for a connection to come up where the settings state none.
 	defaultConnect = 250
 
@@ -82,7 +91,8 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	clk := clock.New()
-	own := reserve
+	files := max(fewestFiles, c.Limits.Sockets/filesPer)
+	own := reserve + files
 	if c.Operator != "" {
 		own += door.Most + 1
 	}
@@ -112,9 +122,10 @@
 	n.engine = engine.New(engine.Options{Module: n.watch, Clock: clk, Prober: n, Watcher: n.catalog, Teller: teller,
 		MaxAttempts: set.MaxAttempts, Log: log, Count: count})
 	n.classes = set.Classes
-	n.desk = exchange.NewDesk(exchange.Options{Router: n.engine, Send: n.send, Clock: clk, Classes: set.Classes,
+	bodies := body.New(os.Getenv("TMPDIR"), files, max(fewestFiles, int(c.Limits.MemoryMB*bodyShare*(1<<20))/body.Piece), &count.Bodies)
+	n.desk = exchange.NewDesk(exchange.Options{Router: n.engine, Send: n.send, Clock: clk, Bodies: bodies, Classes: set.Classes,
 		Slack: c.Settings.AnswerSlack, Log: log, Count: count})
-	n.ingress = ingress.New(ingress.Options{Desk: n.desk, Most: each, Grace: longest(set), Log: log, Count: count})
+	n.ingress = ingress.New(ingress.Options{Desk: n.desk, Bodies: bodies, Most: each, Grace: longest(set), Log: log, Count: count})
 	return n, nil
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -9,13 +9,14 @@
 
 	"github.com/valyala/fasthttp"
 
+	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/logic"
 )
 
-// maxBody is the longest answer a server may give, the same as for requests.
-const maxBody = 64 << 10
+// maxProbe is the longest body that a probe's answer may have, in bytes: a load report has a line.
+const maxProbe = 64 << 10
 
 // Attempt is one copy of a request on one connection. It is written once; nothing sends it again.
 type Attempt struct {
@@ -31,10 +32,14 @@
 	conn    *conn
 	writing bool // from the moment that the server may get it whole
 	aborted bool
+	unkept  bool // a large body could not be read from where it is kept
 }
 
 // Send starts writing the copy to a server. Done is called once with the outcome, unless Abort comes first.
 func (p *Pool) Send(server logic.ServerID, copied engine.Copy, done func(engine.End)) *Attempt {
+	if copied.Body != nil {
+		copied.Body.Retain()
+	}
 	a := &Attempt{pool: p, server: server, copy: copied, began: time.Now(), done: done}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	go a.run()
@@ -57,6 +62,9 @@
 
 func (a *Attempt) run() {
 	defer a.cancel()
+	if a.copy.Body != nil {
+		defer a.copy.Body.Release()
+	}
 	defer a.pool.recovered(func() { a.report(engine.End{Result: logic.Broken}) })
 	c, err := a.pool.get(a.context, a.server)
 	switch {
@@ -72,12 +80,25 @@
 		return
 	}
 	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	reason := endPanic
-	defer func() { a.pool.finish(c, reason, err) }()
-	why, err := a.exchange(c, resp)
-	end := a.outcome(resp, why)
+	reason, keep := endPanic, false
+	defer func() {
+		if keep { // the answer's rest has both
+			return
+		}
+		resp.Reset() // its stream reads from the connection
+		fasthttp.ReleaseResponse(resp)
+		a.pool.finish(c, reason, err)
+	}()
+	got, why, err := a.exchange(c, resp)
+	end := a.outcome(resp, got.body, why)
 	if !a.release() {
+		reason = endGaveUp
+		a.report(end)
+		return
+	}
+	if got.rest != nil && end.Result == logic.OK {
+		keep, end.Rest = true, got.rest
+	} else if got.rest != nil { // an error's body: nobody gets it, and what is left of it is not read
 		why = endGaveUp
 	}
 	reason = why
@@ -91,7 +112,7 @@
 	if a.aborted {
 		return false
 	}
-	a.conn, a.writing = c, true
+	a.conn, a.writing = c, a.copy.Body == nil
 	return true
 }
 
@@ -104,20 +125,37 @@
 }
 
 // exchange writes the request and reads the answer. It returns why the connection cannot be used again, or "".
-func (a *Attempt) exchange(c *conn, resp *fasthttp.Response) (string, error) {
+func (a *Attempt) exchange(c *conn, resp *fasthttp.Response) (answer, string, error) {
 	c.requests++
-	if _, err := c.Write(a.copy.Bytes); err != nil {
+	if err := a.write(c); err != nil {
+		a.unkept = errors.Is(err, body.ErrNoRoom) || errors.Is(err, body.ErrKeep)
 		a.mu.Lock()
 		a.writing = false // the last byte was never written: the server cannot have begun
 		a.mu.Unlock()
-		return endWrite, err
+		return answer{}, endWrite, err
 	}
 	a.pool.o.Count.Attempts.Written.Inc()
 	a.copy.Written()
-	return read(c, resp)
+	return a.pool.readAnswer(c, resp)
 }
 
-// read takes in one answer.
+// write sends the copy. The server can have got it whole only once its last piece is begun.
+func (a *Attempt) write(c *conn) error {
+	if _, err := c.Write(a.copy.Bytes); err != nil || a.copy.Body == nil {
+		return err
+	}
+	return a.copy.Body.Pieces(func(piece []byte, last bool) error {
+		if last {
+			a.mu.Lock()
+			a.writing = true
+			a.mu.Unlock()
+		}
+		_, err := c.Write(piece)
+		return err
+	})
+}
+
+// read takes in a probe's answer.
 func read(c *conn, resp *fasthttp.Response) (string, error) {
 	if _, err := c.r.Peek(1); err != nil {
 		return endReset, err
@@ -125,7 +163,7 @@
 	if err := finalHead(c.r); err != nil {
 		return endBadAnswer, err
 	}
-	if err := resp.ReadLimitBody(c.r, maxBody); err != nil {
+	if err := resp.ReadLimitBody(c.r, maxProbe); err != nil {
 		return endBadAnswer, err
 	}
 	if resp.ConnectionClose() || c.r.Buffered() > 0 { // what comes unasked could pass for the next answer
@@ -135,16 +173,19 @@
 }
 
 // outcome tells what became of the attempt.
-func (a *Attempt) outcome(resp *fasthttp.Response, reason string) engine.End {
+func (a *Attempt) outcome(resp *fasthttp.Response, body []byte, reason string) engine.End {
 	switch reason {
 	case endWrite:
+		if a.unkept { // our own limit or disk: not the server's fault
+			return engine.End{Result: logic.Void}
+		}
 		return engine.End{Result: logic.Unreachable}
 	case endReset, endBadAnswer:
 		return engine.End{Result: logic.Broken}
 	}
 	end := engine.End{Result: classify(resp), Load: a.pool.load(resp.Header.Peek(loadHeader), false)}
 	if end.Result == logic.OK {
-		end.Body = append([]byte(nil), resp.Body()...) // the response goes back to its pool
+		end.Body = body
 	}
 	return end
 }
@@ -155,6 +196,9 @@
 	a.mu.Unlock()
 	if aborted {
 		a.pool.o.Count.Attempts.Late.Inc()
+		if end.Rest != nil {
+			end.Rest.Close()
+		}
 		return
 	}
 	end.Elapsed = clock.Millis(time.Since(a.began))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -135,7 +135,7 @@
 // reserve makes room for a connection, at the cost of the one longest idle where the limit is reached.
 func (p *Pool) reserve(id logic.ServerID) bool {
 	p.mu.Lock()
-	if p.held[id] >= max(2, p.o.Each/p.parts) {
+	if p.held[id] >= max(1, p.o.Each/p.parts) {
 		p.mu.Unlock()
 		return false
 	}
--- /dev/null
+++ b/internal/upstream/stream.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tackhub.example/tackhub/internal/body"
+)
+
+const (
+	// stallMost is how long a server may stand still within a large answer. What it still gives must be passed on,
+	// however slowly; one that gives nothing for so long has gone silent.
+	stallMost = 5 * time.Second
+
+	// firstPiece is read of a large answer before it is passed on.
+	firstPiece = 4 << 10
+)
+
+var errLarge = errors.New("the answer is larger than there may be")
+
+// Stream is the rest of a large answer that is still coming. Its connection goes back with Close.
+type Stream struct {
+	pool *Pool
+	conn *conn
+	resp *fasthttp.Response
+	body io.Reader
+	size int64 // of the whole body, -1 where it is not told
+	got  int64 // of the whole body
+	end  bool
+	err  error
+}
+
+// Size is the whole body's in bytes, what was read before the stream included; -1 where the server did not tell it.
+func (s *Stream) Size() int64 { return s.size }
+
+// Read gives what has come, and io.EOF once the answer is whole.
+func (s *Stream) Read(p []byte) (int, error) {
+	if s.end {
+		return 0, io.EOF
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(stallMost)); err != nil {
+		return 0, err
+	}
+	n, err := s.body.Read(p)
+	s.got += int64(n)
+	switch {
+	case s.got > body.Most:
+		s.err = errLarge
+	case errors.Is(err, io.EOF):
+		s.end = true
+	default:
+		s.err = err
+	}
+	if s.err != nil {
+		return n, s.err
+	}
+	return n, err
+}
+
+// Close gives the connection back if the answer was read to its end, and ends it otherwise.
+func (s *Stream) Close() {
+	reason := ""
+	switch {
+	case s.err != nil:
+		reason = endBadAnswer
+	case !s.end:
+		reason = endGaveUp
+	case s.resp.ConnectionClose() || s.conn.r.Buffered() > 0 || s.size < 0 && s.resp.Header.ContentLength() == -2:
+		reason = endAsked
+	}
+	if s.conn.SetReadDeadline(time.Time{}) != nil && reason == "" {
+		reason = endReset
+	}
+	s.resp.Reset() // its stream reads from the connection
+	fasthttp.ReleaseResponse(s.resp)
+	s.pool.finish(s.conn, reason, s.err)
+}
+
+// answer is what was read of a server's answer: a small body whole, or the first of a large one.
+type answer struct {
+	body []byte
+	rest *Stream // nil where the body is whole
+}
+
+// readAnswer takes in one answer, and of a large one the first bytes.
+func (p *Pool) readAnswer(c *conn, resp *fasthttp.Response) (answer, string, error) {
+	if _, err := c.r.Peek(1); err != nil {
+		return answer{}, endReset, err
+	}
+	if err := finalHead(c.r); err != nil {
+		return answer{}, endBadAnswer, err
+	}
+	resp.StreamBody = true
+	if err := resp.ReadLimitBody(c.r, 0); err != nil { // the head alone
+		return answer{}, endBadAnswer, err
+	}
+	from, size := resp.BodyStream(), int64(resp.Header.ContentLength())
+	if from == nil {
+		from, size = eof{}, 0
+	}
+	if size > body.Most {
+		return answer{}, endBadAnswer, errLarge
+	}
+	s := &Stream{pool: p, conn: c, resp: resp, body: from, size: max(-1, size)}
+	var a answer
+	var err error
+	if size > body.Small {
+		a.body = make([]byte, firstPiece)
+		var n int
+		if n, err = io.ReadAtLeast(s, a.body, 1); err != nil {
+			return answer{}, endBadAnswer, err
+		}
+		a.body, a.rest = a.body[:n], s
+		return a, "", nil
+	}
+	limit := size
+	if size < 0 {
+		limit = body.Small + 1
+	}
+	// Beyond the told size nothing is read but its end.
+	a.body, err = io.ReadAll(io.LimitReader(s, max(1, limit)))
+	switch {
+	case err != nil:
+		return answer{}, endBadAnswer, err
+	case size < 0 && len(a.body) > body.Small:
+		a.rest = s
+		return a, "", nil
+	case !s.end:
+		if _, err := s.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			return answer{}, endBadAnswer, errFraming
+		}
+	}
+	if resp.ConnectionClose() || resp.Header.ContentLength() == -2 || c.r.Buffered() > 0 {
+		return a, endAsked, nil // what comes unasked could pass for the next answer
+	}
+	return a, "", nil
+}
+
+// eof is the body of an answer that has none.
+type eof struct{}
+
+func (eof) Read([]byte) (int, error) { return 0, io.EOF }
