--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -54,6 +54,14 @@
 		pool: sync.Pool{New: func() any { return new([Piece]byte) }}}
 }
 
+// Limit is the largest request that there is room for at all, in bytes.
+func (s *Store) Limit() int {
+	if s.dir == "" {
+		return Small
+	}
+	return Most
+}
+
 // take waits for one of a stock.
 func (s *Store) take(stock chan struct{}) bool {
 	select {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -71,7 +71,7 @@
 	s := &Server{o: o, conns: map[*conn]struct{}{}}
 	s.SetMost(o.Most)
 	s.http = fasthttp.Server{
-		Handler: s.handle, ErrorHandler: s.unreadable, HeaderReceived: headCame,
+		Handler: s.handle, ErrorHandler: s.unreadable, HeaderReceived: s.headCame,
 		ReadTimeout: headTime, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		StreamRequestBody: true, MaxRequestBodySize: body.Small, ReadBufferSize: maxHead, DisablePreParseMultipartForm: true, NoDefaultServerHeader: true,
 		NoDefaultDate: true, NoDefaultContentType: true, Logger: quiet{},
@@ -90,8 +90,8 @@
 const tooLarge = "Tackhub-Too-Large"
 
 // headCame looks at a head before anything of the body is waited for: a length that will not be read is told at once.
-func headCame(h *fasthttp.RequestHeader) (none fasthttp.RequestConfig) {
-	if h.ContentLength() > body.Most {
+func (s *Server) headCame(h *fasthttp.RequestHeader) (none fasthttp.RequestConfig) {
+	if s.o.Bodies != nil && h.ContentLength() > s.o.Bodies.Limit() {
 		h.SetContentLength(0)
 		h.Del(fasthttp.HeaderExpect)
 		h.Set(tooLarge, "1")
