--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -79,6 +80,11 @@
 	s.pool.finish(s.conn, reason, s.err)
 }
 
+// brokeOff tells how far an answer had come: slow ones and broken ones look alike else.
+func (s *Stream) brokeOff(err error) error {
+	return fmt.Errorf("after %d bytes of %d: %w", s.got, s.size, err)
+}
+
 // answer is what was read of a server's answer: a small body whole, or the first of a large one.
 type answer struct {
 	body []byte
@@ -111,7 +117,7 @@
 		a.body = make([]byte, firstPiece)
 		var n int
 		if n, err = io.ReadAtLeast(s, a.body, 1); err != nil {
-			return answer{}, endBadAnswer, err
+			return answer{}, endBadAnswer, s.brokeOff(err)
 		}
 		a.body, a.rest = a.body[:n], s
 		return a, "", nil
@@ -124,7 +130,7 @@
 	a.body, err = io.ReadAll(io.LimitReader(s, max(1, limit)))
 	switch {
 	case err != nil:
-		return answer{}, endBadAnswer, err
+		return answer{}, endBadAnswer, s.brokeOff(err)
 	case size < 0 && len(a.body) > body.Small:
 		a.rest = s
 		return a, "", nil
