Pass an answer of untold size on once it takes its time

Ruled out: a lack of CPU (0.18 of a core at most), memory (42 of 64 MB), descriptors. Held back for 20 ms now, by the clock between reads.

--- a/cmd/tackhub/body_test.go
+++ b/cmd/tackhub/body_test.go
@@ -268,3 +268,32 @@
 		t.Errorf("%d, %v", a.status, err)
 	}
 }
+
+// TestAnswerOfUntoldSizeIsNotHeldBack has a server write slowly without saying how much there will be.
+func TestAnswerOfUntoldSizeIsNotHeldBack(t *testing.T) {
+	b, gate := large(8<<10), make(chan struct{})
+	p, _ := withBodies(t, func(c net.Conn, _ got) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range 3 {
+			_, _ = fmt.Fprintf(c, "2000\r\n%s\r\n", b)
+			time.Sleep(30 * time.Millisecond) // slow is what is tested
+		}
+		<-gate
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	})
+	c := p.connect()
+	c.write(request("look", 1400))
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 2*len(b))
+	if _, err := io.ReadFull(resp.Body, got); err != nil || !bytes.Equal(got[:len(b)], b) {
+		t.Errorf("the first pieces: %v", err)
+	}
+	close(gate)
+	if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) != len(b) {
+		t.Errorf("the rest: %d bytes, %v", len(rest), err)
+	}
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -16,6 +16,10 @@
 	// however slowly; one that gives nothing for so long has gone silent.
 	stallMost = 5 * time.Second
 
+	// holdMost is how long an answer whose size is not told is held back to see whether it is a small one, which could be
+	// had again elsewhere if it broke. What is large is timed by its first bytes, and servers may write slowly.
+	holdMost = 20 * time.Millisecond
+
 	// firstPiece is read of a large answer before it is passed on.
 	firstPiece = 4 << 10
 )
@@ -122,22 +126,12 @@
 		a.body, a.rest = a.body[:n], s
 		return a, "", nil
 	}
-	limit := size
-	if size < 0 {
-		limit = body.Small + 1
-	}
-	// Beyond the told size nothing is read but its end.
-	a.body, err = io.ReadAll(io.LimitReader(s, max(1, limit)))
-	switch {
-	case err != nil:
+	if a.body, err = s.small(); err != nil {
 		return answer{}, endBadAnswer, s.brokeOff(err)
-	case size < 0 && len(a.body) > body.Small:
+	}
+	if !s.end {
 		a.rest = s
 		return a, "", nil
-	case !s.end:
-		if _, err := s.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
-			return answer{}, endBadAnswer, errFraming
-		}
 	}
 	if resp.ConnectionClose() || resp.Header.ContentLength() == -2 || c.r.Buffered() > 0 {
 		return a, endAsked, nil // what comes unasked could pass for the next answer
@@ -145,6 +139,34 @@
 	return a, "", nil
 }
 
+// small reads an answer that is, or may be, a small one: to its end, unless its size is not told and it turns out to be
+// large or takes its time.
+func (s *Stream) small() ([]byte, error) {
+	room := s.size + 1 // the end shows in a read beyond the last byte
+	if s.size < 0 {
+		room = firstPiece
+	}
+	var began time.Time
+	for b := make([]byte, 0, room); ; {
+		if len(b) == cap(b) {
+			b = append(b, 0)[:len(b)]
+		}
+		n, err := s.Read(b[len(b):cap(b)])
+		if b = b[:len(b)+n]; errors.Is(err, io.EOF) {
+			return b, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if began.IsZero() {
+			began = time.Now()
+		}
+		if s.size < 0 && (len(b) > body.Small || time.Since(began) > holdMost) {
+			return b, nil
+		}
+	}
+}
+
 // eof is the body of an answer that has none.
 type eof struct{}
 
