--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -148,6 +149,9 @@
 	}
 	var began time.Time
 	for b := make([]byte, 0, room); ; {
+		if s.size < 0 && len(b) > 0 && !s.more(began.Add(holdMost)) {
+			return b, nil
+		}
 		if len(b) == cap(b) {
 			b = append(b, 0)[:len(b)]
 		}
@@ -167,6 +171,16 @@
 	}
 }
 
+// more waits for something further to read, until a time at the latest. Only so can a wait be given up without losing the
+// place in the answer.
+func (s *Stream) more(until time.Time) bool {
+	if s.conn.r.Buffered() > 0 || s.conn.SetReadDeadline(until) != nil {
+		return true
+	}
+	_, err := s.conn.r.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded) // any other fault shows in the reading
+}
+
 // eof is the body of an answer that has none.
 type eof struct{}
 
