--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -17,9 +18,13 @@
 )
 
 const (
-	// holdLongest is how long discovery may hold a watch that has nothing to tell. A connection that has gone
-	// silent is noticed only after it, so it is well under the minute that discovery allows.
-	holdLongest = 5 * time.Second
+	// holdFew is how long discovery may hold a watch that has nothing to tell, where nodes are few. A connection that has
+	// gone silent is noticed only after it, so it is well under the minute that discovery allows.
+	holdFew = 5 * time.Second
+
+	// holdMany bounds it where they are many, and few is how many they are where it begins to grow with their number: the
+	// calls of all together are then as many as those of so few.
+	holdMany, few = 20 * time.Second, 8
 
 	// answerWait is how long past the hold an answer may take: the agent is on this machine, and what it
 	// has to tell counts as told 2 s after the hold.
@@ -30,6 +35,13 @@
 	retryFirst   = 50 * time.Millisecond
 	retryLongest = 800 * time.Millisecond
 
+	// retryMany bounds the pause where nodes are many: all of them lose discovery together, and it may have room for a
+	// few calls a second.
+	retryMany = 4 * time.Second
+
+	// toldMost is the longest waiting time that is believed: a list older than that does more harm than a call.
+	toldMost = 15 * time.Second
+
 	maxList = 8 << 20 // bytes; a fleet of ten thousand servers has less
 
 	path = "/catalog/members"
@@ -47,7 +59,8 @@
 // Catalog follows discovery.
 type Catalog struct {
 	hold  time.Duration
-	ask   bool // the list is followed only once asked for
+	pause time.Duration // between failed calls, at the longest
+	ask   bool          // the list is followed only once asked for
 	asked chan struct{}
 	moved chan struct{} // discovery has another address
 	log   *slog.Logger
@@ -65,6 +78,7 @@
 // Options say how discovery is to be followed.
 type Options struct {
 	Address   string
+	Nodes     int           // that follow the same discovery; 0: not known
 	Subscribe bool          // only after Watch
 	MustAsk   time.Duration // a node that has not asked for so long is deemed informed; 0: never
 	Log       *slog.Logger
@@ -73,11 +87,15 @@
 
 // New makes a catalog that holds the list as it was known before.
 func New(o Options, known List) *Catalog {
-	hold := holdLongest
+	hold, pause := holdFew, retryLongest
+	if o.Nodes > few {
+		hold = min(holdMany, hold*time.Duration(o.Nodes)/few)
+		pause = min(retryMany, pause*time.Duration(o.Nodes)/few)
+	}
 	if o.MustAsk > 0 {
 		hold = min(hold, o.MustAsk/2)
 	}
-	c := &Catalog{hold: hold, ask: o.Subscribe, asked: make(chan struct{}, 1),
+	c := &Catalog{hold: hold, pause: pause, ask: o.Subscribe, asked: make(chan struct{}, 1),
 		moved: make(chan struct{}, 1), log: o.Log, count: o.Count, members: map[logic.ServerID]Member{},
 		source: newSource(o.Address)}
 	known.Complete = true
@@ -126,42 +144,67 @@
 	// Told even where nothing is known: it is the module's first event, without which one that has to ask for
 	// the list would not begin to.
 	c.tell(known, logic.ListCached)
-	pause := retryFirst
+	pause, at := retryFirst, int64(-1)
 	for asked := !c.ask; ctx.Err() == nil; {
 		if !asked && !c.waitAsked(ctx) {
 			return
 		}
 		asked = !c.ask
 		src := c.current()
-		pause = c.follow(ctx, src, pause)
+		next, told := c.follow(ctx, src, &at, pause)
+		pause = next
 		if src != c.current() { // the call was ended by us: go on there at once, and tell of no failure
 			c.arrived()
-			asked, pause = true, retryFirst
+			asked, pause, at = true, retryFirst, -1
 			continue
 		}
 		if !c.ask {
-			c.rest(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, retryLongest)
+			c.rest(ctx, told+pause/2+rand.N(pause)) // beyond what was told, so that those turned away together do not come back so
+			pause = min(2*pause, c.pause)
 		}
 	}
 }
 
 // follow takes the whole list from a source and then its changes, until a call fails. What is held of another
-// source, or from before a failure, is not gone on from: revisions may not compare, and news was missed.
-func (c *Catalog) follow(ctx context.Context, src *source, pause time.Duration) time.Duration {
-	at := int64(-1)
+// source, or from before a failure, is not gone on from: revisions may not compare, and news was missed. Only a call that
+// was turned away leaves what is held as it was; the time that discovery told for coming back is given.
+func (c *Catalog) follow(ctx context.Context, src *source, at *int64, pause time.Duration) (next, told time.Duration) {
 	for ctx.Err() == nil {
-		next, err := c.call(src, at)
+		revision, err := c.call(src, *at)
 		if src != c.current() {
 			break
 		}
+		var away turnedAway
+		switch {
+		case errors.As(err, &away):
+			told = away.after
+		case err != nil:
+			*at = -1
+		}
 		if err != nil {
 			c.failed(err, pause == retryFirst)
 			break
 		}
-		at, pause = next, retryFirst
+		*at, pause = revision, retryFirst
 	}
-	return pause
+	return pause, told
+}
+
+// turnedAway says that discovery has no room for a call now.
+type turnedAway struct{ after time.Duration }
+
+func (t turnedAway) Error() string { return fmt.Sprintf("turned away for %v", t.after) }
+
+// away reads how long to stay away: whole seconds or decimals, or a date (RFC 9110, section 10.2.3).
+func away(h *fasthttp.ResponseHeader) turnedAway {
+	text := string(h.Peek(fasthttp.HeaderRetryAfter))
+	var after time.Duration
+	if s, err := strconv.ParseFloat(text, 64); err == nil && s > 0 {
+		after = time.Duration(min(s, toldMost.Seconds()) * float64(time.Second))
+	} else if at, err := fasthttp.ParseHTTPDate([]byte(text)); err == nil {
+		after = time.Until(at)
+	}
+	return turnedAway{min(toldMost, max(0, after))}
 }
 
 // waitAsked waits until the module asks. Another address needs no asking: it goes on with what was asked for.
@@ -217,7 +260,11 @@
 	if err := src.client.DoTimeout(req, resp, wait); err != nil {
 		return 0, fmt.Errorf("%s: %w", path, err)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return 0, fmt.Errorf("%s: status %d: %w", path, resp.StatusCode(), away(&resp.Header))
+	default:
 		return 0, fmt.Errorf("%s: status %d", path, resp.StatusCode())
 	}
 	list, err := ParseList(resp.Body())
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,9 +1,19 @@
 package catalog
 
 import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
 	"reflect"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -79,3 +89,75 @@
 	c.locate(List{Complete: true, Members: []Member{{ID: "c", HostPort: "3.3.3.3:1", Phase: "SERVING"}}})
 	expect(map[logic.ServerID]string{"c": "3.3.3.3:1"})
 }
+
+// heard collects what a catalog tells.
+type heard chan logic.ServerList
+
+func (h heard) ListNews(l logic.ServerList) { h <- l }
+
+// TestTurnedAwayGoesOnFromWhatIsHeld has discovery turn a watch away, with and without a time to come back.
+func TestTurnedAwayGoesOnFromWhatIsHeld(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	var mu sync.Mutex
+	var calls []string
+	var at []time.Time
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stand := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls, at = append(calls, r.URL.Query().Get("from")), append(at, time.Now())
+		switch len(calls) {
+		case 2:
+			w.Header().Set("Retry-After", "0.3")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case 5:
+			w.WriteHeader(http.StatusInternalServerError)
+		default:
+			_, _ = io.WriteString(w, good)
+		}
+	})}
+	go func() { _ = stand.Serve(l) }()
+	defer func() { _ = stand.Close() }()
+	c := New(Options{Address: l.Addr().String(), Nodes: 40, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Count: &counters.Counters{}}, List{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	news := make(heard, 64)
+	go c.Run(ctx, List{}, news)
+	for {
+		select {
+		case <-news:
+		case <-time.After(10 * time.Second):
+			t.Fatal("discovery is followed no more")
+		}
+		mu.Lock()
+		got := append([]string(nil), calls...)
+		mu.Unlock()
+		if len(got) < 6 {
+			continue
+		}
+		if want := []string{"", "41", "41", "41", "41", ""}; !reflect.DeepEqual(got[:6], want) {
+			t.Errorf("asked from %q, want %q", got[:6], want)
+		}
+		if pause := at[2].Sub(at[1]); pause < wait {
+			t.Errorf("came back after %v, told to stay away for %v", pause, wait)
+		}
+		return
+	}
+}
+
+func TestAway(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "-1": 0, "1.5": 1500 * time.Millisecond, "1e9": toldMost, "NaN": 0,
+		"noise": 0, "Thu, 01 Jan 1970 00:00:00 GMT": 0, "Fri, 01 Jan 2100 00:00:00 GMT": toldMost} {
+		var h fasthttp.ResponseHeader
+		h.Set("Retry-After", text)
+		if got := away(&h); got.after != want {
+			t.Errorf("%q: %v, want %v", text, got.after, want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 		count.Operations[class.Name] = &counters.Operation{}
 	}
 	n := &node{each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set)}
-	n.catalog = catalog.New(catalog.Options{Address: c.Discovery, Subscribe: set.Subscribe,
+	n.catalog = catalog.New(catalog.Options{Address: c.Discovery, Nodes: set.Nodes, Subscribe: set.Subscribe,
 		MustAsk: clock.Span(set.MustAskIn), Log: log, Count: count}, c.Known)
 	n.roster = roster.New(n.catalog, lateNews{n})
 	n.pool = upstream.New(upstream.Options{Addresses: n.roster, Connect: clock.Span(connect(set)),
