--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -30,14 +30,20 @@
 	// has to tell counts as told 2 s after the hold.
 	answerWait = 1500 * time.Millisecond
 
+	// answerMany is the same where nodes are many and discovery lets their calls wait: seen, 2 s. Who leaves sooner has
+	// waited for nothing, and costs as much.
+	answerMany = 2500 * time.Millisecond
+
 	// retryFirst and retryLongest bound the jittered pause after a failed call: discovery must not be
 	// rushed, nor what it tells come late once it is back.
 	retryFirst   = 50 * time.Millisecond
 	retryLongest = 800 * time.Millisecond
 
-	// retryMany bounds the pause where nodes are many: all of them lose discovery together, and it may have room for a
-	// few calls a second.
-	retryMany = 4 * time.Second
+	// callEach for each node is the time over which nodes spread their first calls where they are many, and four times it
+	// the longest pause: after failures a few calls a second come from all of them together. Seen with 36 nodes: discovery
+	// had room for four to five whole lists a second. While more were asked for nearly all waited until they were turned
+	// away, and that went on for as long as calls came so fast.
+	callEach = 100 * time.Millisecond
 
 	// toldMost is the longest waiting time that is believed: a list older than that does more harm than a call.
 	toldMost = 15 * time.Second
@@ -60,11 +66,13 @@
 type Catalog struct {
 	hold  time.Duration
 	pause time.Duration // between failed calls, at the longest
-	ask   bool          // the list is followed only once asked for
-	asked chan struct{}
-	moved chan struct{} // discovery has another address
-	log   *slog.Logger
-	count *counters.Counters
+	// answer is how long past the hold an answer may take, spread the time over which first calls are spread; 0: at once.
+	answer, spread time.Duration
+	ask            bool // the list is followed only once asked for
+	asked          chan struct{}
+	moved          chan struct{} // discovery has another address
+	log            *slog.Logger
+	count          *counters.Counters
 
 	running atomic.Bool
 
@@ -87,15 +95,16 @@
 
 // New makes a catalog that holds the list as it was known before.
 func New(o Options, known List) *Catalog {
-	hold, pause := holdFew, retryLongest
+	hold, pause, answer, spread := holdFew, retryLongest, answerWait, time.Duration(0)
 	if o.Nodes > few {
 		hold = min(holdMany, hold*time.Duration(o.Nodes)/few)
-		pause = min(retryMany, pause*time.Duration(o.Nodes)/few)
+		spread, answer = time.Duration(o.Nodes)*callEach, answerMany
+		pause = 4 * spread
 	}
 	if o.MustAsk > 0 {
 		hold = min(hold, o.MustAsk/2)
 	}
-	c := &Catalog{hold: hold, pause: pause, ask: o.Subscribe, asked: make(chan struct{}, 1),
+	c := &Catalog{hold: hold, pause: pause, answer: answer, spread: spread, ask: o.Subscribe, asked: make(chan struct{}, 1),
 		moved: make(chan struct{}, 1), log: o.Log, count: o.Count, members: map[logic.ServerID]Member{},
 		source: newSource(o.Address)}
 	known.Complete = true
@@ -145,6 +154,12 @@
 	// the list would not begin to.
 	c.tell(known, logic.ListCached)
 	pause, at := retryFirst, int64(-1)
+	if c.spread > 0 {
+		if len(known.Members) > 0 { // half the calls of a start: what has changed since is all that is needed
+			at = known.Revision
+		}
+		c.rest(ctx, rand.N(c.spread))
+	}
 	for asked := !c.ask; ctx.Err() == nil; {
 		if !asked && !c.waitAsked(ctx) {
 			return
@@ -160,7 +175,7 @@
 		}
 		if !c.ask {
 			c.rest(ctx, told+pause/2+rand.N(pause)) // beyond what was told, so that those turned away together do not come back so
-			pause = min(2*pause, c.pause)
+			pause = min(max(2*pause, c.spread/4), c.pause)
 		}
 	}
 }
@@ -251,7 +266,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	uri, wait := "http://"+src.client.Addr+path, answerWait
+	uri, wait := "http://"+src.client.Addr+path, c.answer
 	if at >= 0 {
 		uri += "?from=" + strconv.FormatInt(at, 10) + "&hold_ms=" + strconv.FormatInt(c.hold.Milliseconds(), 10)
 		wait += c.hold
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -123,7 +123,7 @@
 	})}
 	go func() { _ = stand.Serve(l) }()
 	defer func() { _ = stand.Close() }()
-	c := New(Options{Address: l.Addr().String(), Nodes: 40, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	c := New(Options{Address: l.Addr().String(), Nodes: few + 1, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Count: &counters.Counters{}}, List{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
