Let unfinished connections make way first, the one silent longest before the rest

Seen by the code and in TestCrowdThatNeverFinishesMakesWay, which waits until time runs out for the unfinished without the part: at the limit only idle connections made way (ingress/accept.go, evict).

--- a/cmd/tackhub/badinput_test.go
+++ b/cmd/tackhub/badinput_test.go
@@ -432,3 +432,31 @@
 		t.Fatalf("status %d, %d bytes, %v", a.status, len(a.body), err)
 	}
 }
+
+// TestCrowdThatNeverFinishesMakesWay has twice the connections there may be stay with half a request, and one client
+// write a true one slowly.
+func TestCrowdThatNeverFinishesMakesWay(t *testing.T) {
+	s := startServer(t, "s1", say(200, "done"))
+	d := startDiscovery(t, members(s))
+	p := startNode(t, setup{discovery: d.addr, sockets: 96})
+	eventually(t, "watch", func() bool { return d.watched() > 0 })
+	for i := range 60 {
+		c := p.connect()
+		if i%2 == 0 {
+			c.write("GET /look HTTP/1.1\r\nX-Request")
+		} else {
+			c.write(strings.TrimSuffix(request("bill", 1000), "=12")) // half a body
+		}
+	}
+	c, raw := p.connect(), request("look", 1400)
+	for i := range 4 { // the time is what is tested
+		c.write(raw[i*len(raw)/4 : (i+1)*len(raw)/4])
+		time.Sleep(200 * time.Millisecond)
+	}
+	if a, err := c.read(); err != nil || a.status != 200 || a.took > time.Second {
+		t.Errorf("status %d after %v, %v", a.status, a.took, err)
+	}
+	if n := p.counts().ClientEnds["descriptor_limit"]; n == 0 {
+		t.Error("none made way")
+	}
+}
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -32,6 +32,10 @@
 	// a request sends it at once, and hundreds that never do must not keep the others out for long.
 	firstLeast = 150 * time.Millisecond
 
+	// silentLeast is how long a connection whose request is not whole must have been silent to make way: a client that
+	// takes 2 s over a request writes all the while.
+	silentLeast = 300 * time.Millisecond
+
 	// deferFor is how long the kernel keeps a connection on which nothing has come from us. It is the shortest
 	// there is: the kernel counts in repeats of its own answer, the first of which is due after a second.
 	deferFor = time.Second
@@ -138,9 +142,18 @@
 			idle = append(idle, idler{c, d})
 		}
 	}
+	end := func(c *conn) bool { return c.doom(endEvicted) }
+	if len(idle) == 0 && least == 0 { // thousands may connect and never finish a request
+		end = (*conn).giveWay
+		for _, c := range s.all() {
+			if d, ok := c.silentFor(); ok && d >= silentLeast {
+				idle = append(idle, idler{c, d})
+			}
+		}
+	}
 	slices.SortFunc(idle, func(a, b idler) int { return cmp.Compare(b.since, a.since) })
 	for _, i := range idle[:min(evictBatch, len(idle))] {
-		if i.c.doom(endEvicted) {
+		if end(i.c) {
 			s.evicting.Add(1)
 		}
 	}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -57,7 +57,7 @@
 	since    time.Time // idle since
 	requests int
 	began    time.Time // the request that is coming or in hand
-	busy     bool      // a request has its head, and not yet its answer
+	busy     bool      // a request is in hand: whole, and not yet answered
 
 	large *body.File // of the request in hand; the connection's goroutine alone has it
 }
@@ -75,12 +75,15 @@
 func (c *conn) Read(p []byte) (int, error) {
 	c.await()
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle() && c.waiting() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.crossing() && c.waiting() {
 		// The request crossed our closing, for a drain, for room or after the idle time: it is here, so it is
 		// taken.
 		if derr := c.Conn.SetReadDeadline(time.Now().Add(headTime)); derr == nil {
 			n, err = c.Conn.Read(p)
 		}
+		if n > 0 && !c.isIdle() { // the rest of it must be here as well
+			_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // it fails on a broken connection alone
+		}
 	}
 	came := time.Now()
 	if n > 0 {
@@ -95,8 +98,10 @@
 		c.idle, c.lastRead = false, came
 		return n, err
 	}
-	if c.doomed != "" && c.idle {
+	if c.doomed != "" {
 		c.end(c.doomed)
+	}
+	if c.doomed != "" && c.idle {
 		return 0, io.EOF // else the server would answer a request that never came
 	}
 	c.end(c.readReason(err))
@@ -189,6 +194,31 @@
 	return c.doomed
 }
 
+// crossing tells whether what comes now may have crossed our closing.
+func (c *conn) crossing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle || c.doomed != ""
+}
+
+// silentFor is how long nothing has come on a connection whose request is not whole yet; false where it has none such.
+func (c *conn) silentFor() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.lastRead), !c.idle && !c.busy && !c.handled && c.doomed == ""
+}
+
+// giveWay ends a connection whose request is not whole. Should the rest have come meanwhile it is still served.
+func (c *conn) giveWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle || c.busy || c.handled || c.doomed != "" {
+		return false
+	}
+	c.doomed = endEvicted
+	return c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
+}
+
 func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -210,7 +240,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.doomed != "" && c.idle {
+	if c.doomed != "" {
 		return nil
 	}
 	if first := c.began.Add(headTime); c.requests == 0 && t.After(first) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -147,7 +147,6 @@
 	}
 	c.mu.Lock()
 	c.requests++
-	c.busy = true
 	c.mu.Unlock()
 	defer c.dropBody()
 	bad := badFraming(&ctx.Request.Header)
@@ -166,6 +165,9 @@
 			s.refuse(ctx, c, status, code)
 			break
 		}
+		c.mu.Lock()
+		c.busy = true
+		c.mu.Unlock()
 		s.o.Desk.Serve(ctx, c)
 	}
 	c.mu.Lock()
