Fuzz answers and handover messages, and keep large bodies from CoAP servers

Found by reading: an attempt at a server listed as coap:// ignored a large body and would have sent the head alone (coap/back, Send); it is not sent now and another server may take it. Tests of the handover in its own package, a long $TMPDIR included.

--- a/internal/coap/back/back.go
+++ b/internal/coap/back/back.go
@@ -139,6 +139,12 @@
 func (b *Back) Send(server logic.ServerID, c engine.Copy, done func(engine.End)) engine.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{cancel: cancel, copy: c}
+	if c.Body != nil { // over the 64 KiB that CoAP keeps to here: another server may take it
+		cancel()
+		b.o.Count.Outcomes.Inc("unsent")
+		go done(engine.End{Result: logic.Void})
+		return a
+	}
 	began := time.Now()
 	go func() {
 		defer cancel()
--- /dev/null
+++ b/internal/coap/back/back_test.go
@@ -0,0 +1,29 @@
+package back
+
+import (
+	"testing"
+	"time"
+
+	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/engine"
+	"tackhub.example/tackhub/logic"
+)
+
+// kept is a large body.
+type kept struct{ engine.Body }
+
+// TestLargeBodiesAreNotSent: only a part of one would go out, and pass for the whole.
+func TestLargeBodiesAreNotSent(t *testing.T) {
+	var count counters.CoapBack
+	ended := make(chan engine.End, 1)
+	New(Options{Count: &count}).Send("s1", engine.Copy{Bytes: []byte("POST / HTTP/1.1\r\n\r\n"), Body: kept{}},
+		func(e engine.End) { ended <- e })
+	select {
+	case e := <-ended:
+		if e.Result != logic.Void || count.Outcomes.Get("unsent") != 1 {
+			t.Errorf("ended as %s", engine.ResultName(e.Result))
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("no end")
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -61,13 +61,18 @@
 
 func (l *link) read(limit time.Duration) (Message, error) {
 	var m Message
-	at := time.Time{}
+	var at time.Time
 	if limit > 0 {
 		at = time.Now().Add(limit)
 	}
 	if err := l.conn.SetReadDeadline(at); err != nil {
 		return m, err
 	}
+	return l.next()
+}
+
+// next reads one line, which may not be longer than there is reason for.
+func (l *link) next() (m Message, err error) {
 	var line []byte
 	for {
 		part, err := l.r.ReadSlice('\n')
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,122 @@
+package handover
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// nothing is a node that has nothing to tell.
+type nothing struct{}
+
+func (nothing) Beside(bool)                     {}
+func (nothing) State() (json.RawMessage, error) { return json.RawMessage(`{}`), nil }
+func (nothing) Succeeded()                      {}
+func (nothing) Hear(Message)                    {}
+
+func keep(t *testing.T, dir string) (*Keeper, *net.TCPListener) {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := Keep(dir, "here", l, nothing{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close(); _ = k.listener.Close() })
+	return k, l
+}
+
+// TestListenerIsTheSame has connections wait in a queue whose first owner closes it.
+func TestListenerIsTheSame(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), strings.Repeat("a-long-name", 15)) // longer than a socket's address may be
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	k, old := keep(t, dir)
+	go k.Run(t.Context())
+	heir, err := Take(dir, "here")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer heir.Close()
+	if raw, err := heir.State(); err != nil || string(raw) != "{}" {
+		t.Errorf("state %s, %v", raw, err)
+	}
+	if err := heir.Ready(); err != nil {
+		t.Error(err)
+	}
+	waiting, err := net.Dial("tcp", old.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := old.Close(); err != nil {
+		t.Fatal(err)
+	}
+	c, err := heir.Listener.Accept()
+	if err != nil || c.RemoteAddr().String() != waiting.LocalAddr().String() {
+		t.Errorf("the connection that waited: %v", err)
+	}
+}
+
+func TestNothingToTake(t *testing.T) {
+	if _, err := Take(t.TempDir(), "here"); err != ErrNone {
+		t.Errorf("an empty place: %v", err)
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(Path(dir, "here"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Take(dir, "here"); err == nil || err == ErrNone {
+		t.Errorf("a foreign file: %v", err)
+	}
+	if _, err := Keep(dir, "here", nil, nothing{}, nil); err == nil {
+		t.Error("a foreign file made way")
+	}
+}
+
+// TestNameGoesWithItsOwner: the next process's must stay.
+func TestNameGoesWithItsOwner(t *testing.T) {
+	dir := t.TempDir()
+	first, _ := keep(t, dir)
+	second, _ := keep(t, dir)
+	for _, k := range []*Keeper{first, second} {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		k.Run(ctx)
+		_, err := os.Lstat(k.path)
+		if there := err == nil; there != (k == first) {
+			t.Errorf("after the end of one the name is there: %v", there)
+		}
+	}
+}
+
+// FuzzMessages reads whatever another process may write.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte("{\"tackhub_handover\":1}\n{\"opened\":\"x\"}\n"))
+	f.Add([]byte("{\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		mine, theirs := net.Pipe()
+		defer func() { _ = mine.Close() }()
+		go func() {
+			_, _ = theirs.Write(raw)
+			_ = theirs.Close()
+		}()
+		l := &link{r: bufio.NewReader(mine)}
+		for range bytes.Count(raw, []byte{'\n'}) + 1 {
+			if _, err := l.next(); err != nil {
+				return
+			}
+		}
+		t.Error("more messages than lines")
+	})
+}
--- /dev/null
+++ b/internal/upstream/stream_test.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"tackhub.example/tackhub/internal/body"
+)
+
+// readFrom reads an answer that comes as it is given, and all that is left of it.
+func readFrom(raw []byte) (got []byte, whole bool) {
+	mine, theirs := net.Pipe()
+	defer func() { _ = mine.Close() }()
+	go func() {
+		_, _ = theirs.Write(raw) // who has read enough leaves
+		_ = theirs.Close()
+	}()
+	c := &conn{Conn: mine, r: bufio.NewReaderSize(mine, readBuffer)}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	defer resp.Reset()
+	a, _, err := (&Pool{}).readAnswer(c, resp)
+	if err != nil || a.rest == nil {
+		return a.body, err == nil
+	}
+	rest, err := io.ReadAll(a.rest)
+	return append(a.body, rest...), err == nil
+}
+
+// FuzzAnswer holds what is read of an answer against the standard library: whatever is taken for whole must be so there.
+func FuzzAnswer(f *testing.F) {
+	big := bytes.Repeat([]byte("x"), body.Small+1)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nX: y\r\n\r\n"))
+	f.Add(append([]byte("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n"), big...))
+	f.Add(append([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"), big...))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		got, whole := readFrom(raw)
+		if !whole {
+			return
+		}
+		r := bufio.NewReader(bytes.NewReader(raw))
+		for {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return // it is stricter about heads, and what it does not read it does not contradict
+			}
+			if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+				continue
+			}
+			want, err := io.ReadAll(resp.Body)
+			if err == nil && !bytes.Equal(got, want) {
+				t.Errorf("%q was read as %q, is %q", raw, got, want)
+			}
+			return
+		}
+	})
+}
