Send large requests ahead of their end, all but the last piece

An attempt counts from the last piece (upstream/attempt.go). TestLargeRequestsGoAheadOfTheirEnd and logic/upload_test.go hold it, race-clean.

--- a/cmd/tackhub/body_test.go
+++ b/cmd/tackhub/body_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/sha256"
 	"fmt"
@@ -294,3 +295,94 @@
 		t.Errorf("the rest: %d bytes, %v", len(rest), err)
 	}
 }
+
+// TestLargeRequestsGoAheadOfTheirEnd has a server see a body before its client has sent the last of it, and a server that
+// breaks off meanwhile: nothing has run, and another gets it whole.
+func TestLargeRequestsGoAheadOfTheirEnd(t *testing.T) {
+	b := large(1 << 20)
+	whole, broken := make(chan []byte, 4), make(chan struct{}, 4)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var first atomic.Bool
+	began := make(chan int, 4)
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		part := make([]byte, len(b)/2)
+		n, _ := io.ReadFull(req.Body, part)
+		began <- n
+		if first.CompareAndSwap(false, true) {
+			broken <- struct{}{}
+			return
+		}
+		rest, err := io.ReadAll(req.Body)
+		if err == nil {
+			whole <- append(part, rest...)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	var list []member
+	for _, id := range []string{"s1", "s2", "s3"} { // one listener: which of them is asked first does not matter
+		m := startServer(t, id, say(200, "")).member()
+		m.HostPort = l.Addr().String()
+		list = append(list, m)
+	}
+	d := startDiscovery(t, list)
+	p := startNode(t, setup{discovery: d.addr, env: []string{"TMPDIR=" + t.TempDir()}})
+	eventually(t, "watch", func() bool { return d.watched() > 0 })
+	c := p.connect()
+	c.write(post(fmt.Sprintf("Content-Length: %d", len(b))) + string(b[:len(b)-1]))
+	for range 2 {
+		select {
+		case n := <-began:
+			if n != len(b)/2 {
+				t.Errorf("a server got %d bytes ahead", n)
+			}
+		case <-time.After(patience):
+			t.Fatal("no server got any of it ahead of its end")
+		}
+	}
+	select {
+	case <-whole:
+		t.Error("a server got the whole before its end had come")
+	case <-time.After(50 * time.Millisecond): // it must not come
+	}
+	c.write(string(b[len(b)-1:]))
+	if a, err := c.read(); err != nil || a.status != 200 || a.body != "done" {
+		t.Fatalf("%d, %v", a.status, err)
+	}
+	if got := <-whole; !bytes.Equal(got, b) {
+		t.Errorf("the server got %d other bytes", len(got))
+	}
+	if n := p.counts().Attempts["written"]; n != 1 {
+		t.Errorf("%d attempts written whole, want the second alone", n)
+	}
+	// One that never gets its end is no request at any server.
+	c = p.connect()
+	c.write(post(fmt.Sprintf("Content-Length: %d", len(b))) + string(b[:len(b)-1]))
+	<-began
+	_ = c.Close()
+	eventually(t, "no room held", func() bool { f, b := p.bodies(); return f == 0 && b == 0 })
+	select {
+	case <-whole:
+		t.Error("a body without its end came to a server whole")
+	default:
+	}
+	p.counts().addUp(t)
+}
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -23,6 +23,10 @@
 	// Piece is what is read and written at a time, in bytes. Larger ones hardly cost less CPU.
 	Piece = 32 << 10
 
+	// Longest is how long the largest body may take at the least rate at which a client may send, 64 kB a second, and half
+	// as long again.
+	Longest = Most / 64_000 * 3 / 2 * time.Second
+
 	// waitMost is how long a body waits for room. Its sender is held up meanwhile; beyond it a request is better off
 	// elsewhere, and an answer held back for 2 s is lost.
 	waitMost = 1500 * time.Millisecond
@@ -97,77 +101,137 @@
 	<-s.buffers
 }
 
-// File is a request's body. Whoever needs it beyond its maker's Release retains it.
+// File is a request's body. It may still grow: whoever sends it on follows it to its end. Whoever needs it beyond its
+// maker's Release retains it.
 type File struct {
 	file  *os.File
-	size  int64
+	want  int64 // bytes announced, -1 where they were not
 	users atomic.Int64
 	store *Store
+
+	mu   sync.Mutex
+	size int64 // so far
+	over bool  // nothing more will come
+	err  error // why it will not become whole
+	more chan struct{}
 }
 
-// Keep reads a body to its end: what has come of it, then the rest.
-func (s *Store) Keep(first []byte, rest io.Reader) (*File, error) {
-	if s.dir == "" {
+// Begin makes room for a body of so many bytes, -1 where that is not known.
+func (s *Store) Begin(size int64) (*File, error) {
+	if s.dir == "" || size > Most {
 		return nil, ErrTooLarge
 	}
 	if !s.take(s.files) {
 		return nil, ErrNoRoom
 	}
-	f := &File{store: s}
+	f := &File{store: s, want: size, more: make(chan struct{})}
 	f.users.Store(1)
 	s.count.Files.Inc()
-	if err := f.fill(first, rest); err != nil {
+	var err error
+	if f.file, err = os.CreateTemp(s.dir, "tackhub-body-*"); err == nil {
+		err = os.Remove(f.file.Name()) // without a name it goes with the process, however that ends
+	}
+	if err != nil {
 		f.Release()
-		return nil, err
+		return nil, errors.Join(ErrKeep, err)
 	}
 	return f, nil
 }
 
-func (f *File) fill(first []byte, rest io.Reader) error {
-	var err error
-	if f.file, err = os.CreateTemp(f.store.dir, "tackhub-body-*"); err != nil {
-		return errors.Join(ErrKeep, err)
-	}
-	if err := os.Remove(f.file.Name()); err != nil { // without a name it goes with the process, however that ends
-		return errors.Join(ErrKeep, err)
-	}
-	if err := f.add(first); err != nil {
-		return err
-	}
+// Fill reads the body to its end, or until pause says so after some piece. It tells whether the end has come. A body that
+// cannot be read or kept will not become whole, which whoever follows it hears too.
+func (f *File) Fill(from io.Reader, pause func(got int64) bool) (whole bool, err error) {
 	b, err := f.store.Buffer()
 	if err != nil {
-		return err
+		f.end(err)
+		return false, err
 	}
 	defer f.store.Return(b)
 	for {
-		n, err := rest.Read(b[:])
+		n, err := from.Read(b[:])
 		if werr := f.add(b[:n]); werr != nil {
-			return werr
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
+			err = werr
+		} else if errors.Is(err, io.EOF) {
+			err = nil
+			if f.want >= 0 && f.size != f.want {
+				err = io.ErrUnexpectedEOF
+			}
+			f.end(err)
+			return err == nil, err
 		}
 		if err != nil {
-			return err
+			f.end(err)
+			return false, err
+		}
+		if pause != nil && pause(f.size) {
+			return false, nil
 		}
 	}
 }
 
+// end says that nothing more will come.
+func (f *File) end(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.over {
+		f.over, f.err = true, err
+		close(f.more)
+	}
+}
+
+// Stop ends a body that will not become whole; one that is stays as it is.
+func (f *File) Stop() { f.end(io.ErrUnexpectedEOF) }
+
 func (f *File) add(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
 	if f.size+int64(len(p)) > Most {
 		return ErrTooLarge
 	}
 	n, err := f.file.Write(p)
-	f.size += int64(n)
 	f.store.count.FileBytes.Add(int64(n))
+	f.mu.Lock()
+	f.size += int64(n)
+	close(f.more)
+	f.more = make(chan struct{})
+	f.mu.Unlock()
 	if err != nil {
 		return errors.Join(ErrKeep, err)
 	}
 	return nil
 }
 
-// Size is the body's, in bytes.
-func (f *File) Size() int64 { return f.size }
+// Size is the body's in bytes, once it is whole.
+func (f *File) Size() int64 {
+	if f.want >= 0 {
+		return f.want
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.size
+}
+
+// Whole tells whether all of it has come.
+func (f *File) Whole() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.over && f.err == nil
+}
+
+// await waits until there is more than so many bytes, or the end. It tells how many there are.
+func (f *File) await(beyond int64) (size int64, over bool, err error) {
+	for {
+		f.mu.Lock()
+		size, over, err = f.size, f.over, f.err
+		more := f.more
+		f.mu.Unlock()
+		if size > beyond || over {
+			return size, over, err
+		}
+		<-more // a body comes as fast as it must, or ends: nobody waits for good
+	}
+}
 
 // Retain keeps the body until one more Release.
 func (f *File) Retain() { f.users.Add(1) }
@@ -185,22 +249,38 @@
 	<-f.store.files
 }
 
-// Pieces gives the body piece by piece; last tells that the one given is the last. The piece is valid during the call.
+// Pieces gives the body piece by piece as it comes; last tells that the one given is the last, which it can only be once the
+// whole body is there. The piece is valid during the call.
 func (f *File) Pieces(each func(piece []byte, last bool) error) error {
 	b, err := f.store.Buffer()
 	if err != nil {
 		return err
 	}
 	defer f.store.Return(b)
-	for at := int64(0); at < f.size; {
-		n := min(int64(Piece), f.size-at)
+	for at := int64(0); ; {
+		size, over, err := f.await(at)
+		if err != nil {
+			return errors.Join(ErrKeep, err)
+		}
+		if !over && size == f.want {
+			size-- // its end may yet not come: the last byte waits for it
+		}
+		n := min(int64(Piece), size-at)
+		if n == 0 && over {
+			return nil
+		}
+		if n == 0 {
+			if _, _, err := f.await(f.want); err != nil {
+				return errors.Join(ErrKeep, err)
+			}
+			continue
+		}
 		if _, err := f.file.ReadAt(b[:n], at); err != nil {
 			return errors.Join(ErrKeep, err)
 		}
 		at += n
-		if err := each(b[:n], at == f.size); err != nil {
+		if err := each(b[:n], over && at == size); err != nil {
 			return err
 		}
 	}
-	return nil
 }
--- a/internal/engine/carry.go
+++ b/internal/engine/carry.go
@@ -1,6 +1,10 @@
 package engine
 
-import "tackhub.example/tackhub/logic"
+import (
+	"math"
+
+	"tackhub.example/tackhub/logic"
+)
 
 var resultNames = [...]string{
 	logic.OK: "served", logic.Errored: "error", logic.Overloaded: "turned_away", logic.TimedOut: "timed_out",
@@ -66,6 +70,9 @@
 	if s.StopAt > 0 {
 		stop = min(stop, s.StopAt)
 	}
+	if c.uploading {
+		stop = math.Inf(1)
+	}
 	if c.closed || now >= stop || a.n >= e.most {
 		e.count.Outcomes.Inc(ResultName(logic.Void))
 		e.step(logic.AttemptEnd{ID: c.id, Attempt: a.n, Server: a.server, Result: logic.Void, Closed: c.closed})
@@ -76,5 +83,7 @@
 	e.count.Attempts.Sent.Inc()
 	e.count.Attempts.Open.Inc()
 	a.copy = c.exchange.Send(s.Server, stop-now, func(end End) { e.post(message{attempt: a, end: &end}) })
-	e.timers.add(stop, "", a)
+	if !c.uploading {
+		e.timers.add(stop, "", a)
+	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -146,6 +146,8 @@
 	attempts []*attempt
 	open     int
 	closed   bool
+	// uploading says that its body is still coming: its time runs only from the end of that, which ends it in any case.
+	uploading bool
 }
 
 type attempt struct {
@@ -159,16 +161,18 @@
 
 // message is anything that reaches the engine from outside.
 type message struct {
-	call    *call // with arrive, leave
-	arrive  bool
-	leave   bool
-	attempt *attempt // with end
-	end     *End
-	server  logic.ServerID // with end: a probe's
-	list    *logic.ServerList
-	told    *logic.Told
-	event   logic.Event // anything else the module is to hear
-	between func()      // to be run between two decisions
+	call     *call // with arrive, uploaded, leave
+	uploaded bool
+	expires  logic.Millis // with uploaded
+	arrive   bool
+	leave    bool
+	attempt  *attempt // with end
+	end      *End
+	server   logic.ServerID // with end: a probe's
+	list     *logic.ServerList
+	told     *logic.Told
+	event    logic.Event // anything else the module is to hear
+	between  func()      // to be run between two decisions
 }
 
 // Options are what an engine works with.
@@ -204,6 +208,11 @@
 	return Ticket{e, c}
 }
 
+// Uploaded says that the body of a request that arrived before it was whole has come, and when its client gives it up.
+func (t Ticket) Uploaded(expires logic.Millis) {
+	t.engine.post(message{call: t.call, uploaded: true, expires: expires})
+}
+
 // Leave says that nobody waits for the answer any more.
 func (t Ticket) Leave() { t.engine.post(message{call: t.call, leave: true}) }
 
@@ -301,6 +310,8 @@
 	switch {
 	case m.arrive:
 		e.arrive(m.call)
+	case m.uploaded:
+		e.uploaded(m.call, m.expires)
 	case m.leave:
 		e.leave(m.call)
 	case m.attempt != nil:
@@ -332,11 +343,26 @@
 	e.nextID++
 	c.id = e.nextID
 	a := c.exchange.Arrival()
-	a.ID, c.expires = c.id, a.Expires
+	a.ID, c.expires, c.uploading = c.id, a.Expires, a.Uploading > 0
 	e.live[c.id] = c
 	e.step(a)
 }
 
+// uploaded gives a request whose body has come its true end, and its attempts theirs.
+func (e *Engine) uploaded(c *call, expires logic.Millis) {
+	if c.closed {
+		return
+	}
+	c.expires, c.uploading = expires, false
+	for _, a := range c.attempts {
+		if a.open {
+			a.sentAt = e.clock.Now()
+			e.timers.add(expires, "", a)
+		}
+	}
+	e.step(logic.Uploaded{ID: c.id, Expires: expires})
+}
+
 // leave ends a request that nobody waits for; what is out for it is withdrawn.
 func (e *Engine) leave(c *call) {
 	if c.closed {
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -59,7 +59,8 @@
 		wait = min(wait, class.HardLimit)
 	}
 	r.class = class
-	r.wire = newOutgoing(t, t.at+wait)
+	r.wait, r.until = wait, t.at+wait
+	r.wire = newOutgoing(t, r.until)
 	return nil
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -111,7 +111,9 @@
 	answer  chan engine.Answer
 	ticket  engine.Ticket
 	routed  bool
-	claimed bool // its id is on the desk's list
+	claimed bool         // its id is on the desk's list
+	wait    logic.Millis // that the client allows
+	until   logic.Millis // when it gives the request up
 
 	mu      sync.Mutex
 	dropped bool // nobody waits for the answer
@@ -148,6 +150,10 @@
 		return
 	}
 	r.route()
+	if e := r.upload(ctx, client); e != nil {
+		r.book(ctx, *e)
+		return
+	}
 	e := r.relay(ctx, client)
 	passing = e.passing != nil
 	r.book(ctx, e)
--- a/internal/exchange/pass.go
+++ b/internal/exchange/pass.go
@@ -130,16 +130,6 @@
 // noHijack leaves the connection to its end: the answer has been written.
 func noHijack(net.Conn) {}
 
-// large is the request's body where it is kept in a file.
-func large(client Client) engine.Body {
-	if c, ok := client.(interface{ LargeBody() *body.File }); ok {
-		if f := c.LargeBody(); f != nil {
-			return f
-		}
-	}
-	return nil
-}
-
 // hasBody tells whether a request has a body.
 func (t *taken) hasBody() bool { return len(t.body) > 0 || t.large != nil }
 
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -36,7 +36,7 @@
 func (r *request) relay(ctx *fasthttp.RequestCtx, client Client) ending {
 	left, stop := client.Watch()
 	defer stop()
-	wait := r.wire.expires + r.desk.o.Slack + guardExtra - r.desk.o.Clock.Now()
+	wait := r.until + r.desk.o.Slack + guardExtra - r.desk.o.Clock.Now()
 	guard := time.NewTimer(clock.Span(wait))
 	defer guard.Stop()
 	select {
--- a/internal/exchange/route.go
+++ b/internal/exchange/route.go
@@ -15,7 +15,7 @@
 func (r *request) Arrival() logic.Arrival {
 	t := &r.taken
 	return logic.Arrival{Class: t.class, Tenant: t.tenant, Key: t.key, Hint: parseHint(t.hint), Retry: t.retry,
-		Expires: r.wire.expires}
+		Expires: r.wire.expires, Uploading: r.uploadMost()}
 }
 
 // Finish takes the module's final answer; the engine calls it once.
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"strconv"
 
 	"tackhub.example/tackhub/internal/engine"
@@ -49,6 +50,9 @@
 
 // Send starts an attempt; the engine calls it for each of the module's sends.
 func (r *request) Send(server logic.ServerID, wait logic.Millis, done func(engine.End)) engine.Attempt {
+	if math.IsInf(wait, 1) { // it will wait so long once the body has come
+		wait = r.wait
+	}
 	relayed := &r.desk.o.Count.Operations.For(r.class.Name).Relayed
 	return r.desk.o.Send(server, engine.Copy{Bytes: r.wire.bytes(wait), Body: r.wire.large, Wrote: relayed.Inc}, done)
 }
--- a/internal/exchange/takein.go
+++ b/internal/exchange/takein.go
@@ -34,6 +34,7 @@
 	hasKey   bool
 	retry    bool
 	hint     string
+	coming   bool // of large there is still something to come
 	header   *fasthttp.RequestHeader
 	body     []byte
 	large    engine.Body // in place of body where it is kept in a file
@@ -43,7 +44,10 @@
 func takeIn(ctx *fasthttp.RequestCtx, client Client, c clock.Clock) taken {
 	h := &ctx.Request.Header
 	key := h.Peek(headKey)
+	kept := large(client)
 	return taken{
+		large:    kept.body(),
+		coming:   kept != nil && !kept.Whole(),
 		at:       c.At(client.LastRead()),
 		method:   string(h.Method()),
 		uri:      originForm(h.RequestURI()),
@@ -57,7 +61,6 @@
 		hint:     string(h.Peek(headHint)),
 		header:   h,
 		body:     ctx.Request.Body(),
-		large:    large(client),
 	}
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -59,7 +59,8 @@
 	began    time.Time // the request that is coming or in hand
 	busy     bool      // a request is in hand: whole, and not yet answered
 
-	large *body.File // of the request in hand; the connection's goroutine alone has it
+	large *body.File // of the request in hand; the connection's goroutine alone has it and what is still to come of it
+	rest  *paced
 }
 
 func newConn(nc *net.TCPConn, s *Server) (*conn, error) {
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"time"
@@ -54,14 +55,26 @@
 	return c.Conn.SetReadDeadline(least)
 }
 
-// receive reads a request's body: a small one whole into the request, a large one into a file. It tells why the request
-// cannot be taken, and with which status, or "".
+// aheadFor is how long before its end a large request of told length is taken up, at its rate so far: a server takes about
+// as long to read a megabyte or two, and a slow client must not hold a connection to one for long.
+const aheadFor = 500 * time.Millisecond
+
+// soon tells whether the rest of a body should come within aheadFor.
+func (p *paced) soon(size int64) func(int64) bool {
+	return func(got int64) bool {
+		took := time.Since(p.began)
+		return took > 0 && got > 0 && float64(size-got)*float64(took)/float64(got) <= float64(aheadFor)
+	}
+}
+
+// receive reads a request's body: a small one whole into the request, a large one into a file, as far as it must be there
+// for the request to be taken up. It tells why the request cannot be, and with which status, or "".
 func (s *Server) receive(ctx *fasthttp.RequestCtx, c *conn) (status int, code string) {
 	from := ctx.RequestBodyStream()
 	if from == nil {
 		return 0, ""
 	}
-	size := ctx.Request.Header.ContentLength()
+	size := int64(ctx.Request.Header.ContentLength())
 	in := &paced{c: c, from: from, began: time.Now()}
 	var small []byte
 	var err error
@@ -69,20 +82,37 @@
 		small, err = io.ReadAll(io.LimitReader(in, body.Small+1))
 	}
 	if err == nil && (size > body.Small || len(small) > body.Small) {
-		var f *body.File
-		if f, err = s.o.Bodies.Keep(small, in); err == nil {
-			c.keep(f)
-			small = nil
-		}
+		err = s.receiveLarge(c, in, small, size)
+		small = nil
+	}
+	if err != nil {
+		return s.bodyFault(ctx, err)
+	}
+	ctx.Request.SetBodyRaw(small)
+	return 0, ""
+}
+
+func (s *Server) receiveLarge(c *conn, in *paced, first []byte, size int64) error {
+	f, err := s.o.Bodies.Begin(max(-1, size))
+	if err != nil {
+		return err
 	}
+	c.large, c.rest = f, in // from now on it goes with the request
+	var pause func(int64) bool
+	if size >= 0 {
+		pause = in.soon(size)
+	}
+	_, err = f.Fill(io.MultiReader(bytes.NewReader(first), in), pause)
+	return err
+}
+
+// bodyFault is what a client is told whose body could not be taken.
+func (s *Server) bodyFault(ctx *fasthttp.RequestCtx, err error) (status int, code string) {
 	switch {
-	case err == nil:
-		ctx.Request.SetBodyRaw(small)
-		return 0, ""
 	case errors.Is(err, body.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge, "body_too_large"
 	case errors.Is(err, body.ErrNoRoom), errors.Is(err, body.ErrKeep):
-		// Nothing was sent, so trying again is harmless, and elsewhere there may be room.
+		// Nothing was sent whole, so trying again is harmless, and elsewhere there may be room.
 		s.o.Count.Operations.For(string(ctx.Request.Header.Peek("X-Class"))).Throttled.Inc()
 		ctx.Response.Header.Set("Retry-After", "1")
 		return fasthttp.StatusServiceUnavailable, "no_room"
@@ -92,15 +122,22 @@
 	return fasthttp.StatusBadRequest, "unreadable"
 }
 
-// keep holds a request's body until the request has ended.
-func (c *conn) keep(f *body.File) { c.large = f }
-
 // LargeBody is the body of the request in hand where it is a large one, else nil.
 func (c *conn) LargeBody() *body.File { return c.large }
 
+// ReadBody reads what is still to come of a large body, unless stop says after some piece that nobody needs it any more. It
+// tells why the body cannot be taken, and with which status, or "".
+func (c *conn) ReadBody(ctx *fasthttp.RequestCtx, stop func() bool) (status int, code string) {
+	if _, err := c.large.Fill(c.rest, func(int64) bool { return stop() }); err != nil {
+		return c.server.bodyFault(ctx, err)
+	}
+	return 0, ""
+}
+
 func (c *conn) dropBody() {
 	if c.large != nil {
+		c.large.Stop()
 		c.large.Release()
-		c.large = nil
+		c.large, c.rest = nil, nil
 	}
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -148,6 +148,7 @@
 		if last {
 			a.mu.Lock()
 			a.writing = true
+			a.began = time.Now() // the server cannot begin before
 			a.mu.Unlock()
 		}
 		_, err := c.Write(piece)
@@ -192,7 +193,7 @@
 
 func (a *Attempt) report(end engine.End) {
 	a.mu.Lock()
-	aborted := a.aborted
+	aborted, began := a.aborted, a.began
 	a.mu.Unlock()
 	if aborted {
 		a.pool.o.Count.Attempts.Late.Inc()
@@ -201,7 +202,7 @@
 		}
 		return
 	}
-	end.Elapsed = clock.Millis(time.Since(a.began))
+	end.Elapsed = clock.Millis(time.Since(began))
 	a.done(end)
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -159,6 +159,14 @@
 	Hint          Millis // anticipated work; 0: none given
 	Retry         bool
 	Expires       Millis // when the client gives this try up
+	Uploading     Millis // how long its body may still be coming at most, 0: it is whole. Expires is counted as if it were
+}
+
+// Uploaded says that the body of a request that arrived before it was whole has come to its end. No server can have begun
+// it before.
+type Uploaded struct {
+	ID      RequestID
+	Expires Millis
 }
 
 // AttemptEnd is the outcome of one Send.
@@ -206,6 +214,7 @@
 
 func (Arrival) event()    {}
 func (Told) event()       {}
+func (Uploaded) event()   {}
 func (AttemptEnd) event() {}
 func (FirstByte) event()  {}
 func (Dropped) event()    {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -135,6 +135,8 @@
 		l.serverList(e)
 	case Told:
 		l.hear(e)
+	case Uploaded:
+		l.uploaded(e)
 	case Beside:
 		l.beside(e.Processes)
 	case Inherited:
@@ -485,6 +487,9 @@
 	s.lost = 0
 	for _, r := range slices.Clone(s.open) {
 		a := r.at(s)
+		if a.sentAt > l.now { // no server has it yet
+			continue
+		}
 		out, known := l.now-a.sentAt, a.lost
 		if missing >= 1 && a.missed == 0 {
 			a.missed = out
@@ -633,6 +638,7 @@
 	l.requests[r.id] = r
 	r.subject = subject{e.Key, c}
 	l.setAim(r, e.Retry)
+	l.upload(r, e.Uploading)
 	if back, ok := l.refused[r.subject]; ok && l.now < back.until { // not marked, but surely the same again
 		delete(l.refused, r.subject)
 		r.aimAt, r.late = back.aimAt, back.aimAt <= l.now
@@ -902,7 +908,7 @@
 func (l *Logic) send(r *request, s *server) {
 	s.budget.left -= r.cost
 	l.changed = true
-	a := attempt{server: s, sentAt: l.now, turns: max(1, l.turns(l.occupancy(s), r.cost)),
+	a := attempt{server: s, sentAt: l.begun(r), turns: max(1, l.turns(l.occupancy(s), r.cost)),
 		expected: l.expected(s, r), open: true}
 	r.attempts = append(r.attempts, a)
 	r.held, r.open = false, r.open+1
@@ -921,7 +927,7 @@
 	}
 	a := &r.attempts[e.Attempt]
 	s := a.server
-	a.open, l.changed = false, true
+	a.open, a.sentAt, l.changed = false, min(a.sentAt, l.now), true
 	r.open--
 	l.outstanding--
 	s.inflight--
--- a/logic/state.go
+++ b/logic/state.go
@@ -88,6 +88,7 @@
 	cost          float64 // work relative to the mean request
 	overQuo       bool
 	late          bool // its aim had passed when it came
+	uploading     bool // its body is still coming
 	attempts      []attempt
 	open          int
 	done          bool
@@ -277,7 +278,10 @@
 }
 
 // passed tells whether an attempt was lost, or passed by the answer to a later one.
-func (s *server) passed(a *attempt) bool { return a.lost || a.sentAt < s.answeredTo }
+// One whose request is not whole yet is with no server: its silence says nothing.
+func (s *server) passed(a *attempt) bool {
+	return a.lost || a.sentAt < s.answeredTo || math.IsInf(a.sentAt, 1)
+}
 
 // at is a request's open attempt at a server; one of the open requests there has one.
 func (r *request) at(s *server) *attempt {
@@ -529,3 +533,35 @@
 		s.score = sum / n
 	}
 }
+
+// upload notes that a request's body is still coming.
+func (l *Logic) upload(r *request, most Millis) {
+	r.uploading = most > 0
+	r.expires += max(0, most)
+}
+
+// begun is when a server that is sent a request now can begin it: for one whose body is still coming not before that has
+// come, whenever that is.
+func (l *Logic) begun(r *request) Millis {
+	if r.uploading {
+		return math.Inf(1)
+	}
+	return l.now
+}
+
+// uploaded counts a request's time, and that of its attempts, from now on.
+func (l *Logic) uploaded(e Uploaded) {
+	r := l.requests[e.ID]
+	if r == nil || !r.uploading {
+		return
+	}
+	r.uploading, r.expires = false, e.Expires
+	r.aimAt += l.now - r.arrived
+	r.arrived = l.now
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.open {
+			a.sentAt, a.server.lookedAt = min(a.sentAt, l.now), -1
+		}
+	}
+	l.dispatch()
+}
--- /dev/null
+++ b/logic/upload_test.go
@@ -0,0 +1,49 @@
+package logic
+
+import "testing"
+
+// TestUploadIsNeitherSilentNorLost has a request's body come for longer than any answer takes.
+func TestUploadIsNeitherSilentNorLost(t *testing.T) {
+	set := Settings{Nodes: 1, Reports: true, MayCancel: true, MayProbe: false, DrainGrace: 2000, MaxAttempts: 3, ColdFrom: 0.2,
+		ColdFor: 9000, FallMultiple: 3, FallFor: 1000, Goal: Goal{Whole: 1},
+		Classes: []Class{{Name: "look", Aim: 100, HardLimit: 400, Worth: 1}}}
+	l, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Step(0, ServerList{Form: ListFull, Entries: []ServerEntry{{ID: "a", Size: 1}, {ID: "b", Size: 1}}})
+	var to ServerID
+	for _, a := range l.Step(1, Arrival{ID: 1, Class: "look", Expires: 401, Uploading: 20_000}) {
+		if s, ok := a.(Send); ok {
+			to = s.Server
+		}
+	}
+	if to == "" {
+		t.Fatal("not sent ahead")
+	}
+	s := l.servers[to]
+	// A report without it, and another request's answer, come meanwhile.
+	for _, now := range []float64{100, 1000, 5000} {
+		l.now = now
+		l.report(s, Load{Valid: true, InFlight: 0})
+		s.answeredTo = now
+		l.runScores()
+		if r := l.requests[1]; r == nil || r.attempts[0].lost || l.overdue(s, false) > 0 {
+			t.Fatalf("after %v ms: request %+v, overdue %v", now, r, l.overdue(s, false))
+		}
+	}
+	s.answeredTo = 0
+	l.Step(6000, Uploaded{ID: 1, Expires: 6400})
+	r := l.requests[1]
+	if r.expires != 6400 || r.aimAt != 6100 || r.attempts[0].sentAt != 6000 {
+		t.Errorf("counted from its end: expires %v, aim %v, sent %v", r.expires, r.aimAt, r.attempts[0].sentAt)
+	}
+	l.now = 6050
+	if l.overdue(s, false) != 50 {
+		t.Errorf("silent for %v ms", l.overdue(s, false))
+	}
+	l.Step(6080, AttemptEnd{ID: 1, Server: to, Result: OK, Elapsed: 80})
+	if l.requests[1] != nil || s.failures != 0 || l.lag != 0 || s.answeredTo != 6000 {
+		t.Errorf("after the answer: lag %v, answered to %v, %d failures", l.lag, s.answeredTo, s.failures)
+	}
+}
