Ask again for large requests that found no place ahead of their end

Causes: an attempt whose request is not whole counted as in its server's hands (logic, countHands and report), and a refusal ahead of the end was passed on at once (exchange/upload.go). Now such attempts are in no server's hands, and what was answered before the last byte could go on is asked for once more when it is whole.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -138,9 +138,10 @@
 	return f, nil
 }
 
-// Fill reads the body to its end, or until pause says so after some piece. It tells whether the end has come. A body that
-// cannot be read or kept will not become whole, which whoever follows it hears too.
-func (f *File) Fill(from io.Reader, pause func(got int64) bool) (whole bool, err error) {
+// Fill reads the body to its end, or until pause says so after some piece. It tells whether the end has come; ended is
+// called before anyone who follows the body can know of that. A body that cannot be read or kept will not become whole,
+// which whoever follows it hears too. Both functions may be nil.
+func (f *File) Fill(from io.Reader, pause func(got int64) bool, ended func()) (whole bool, err error) {
 	b, err := f.store.Buffer()
 	if err != nil {
 		f.end(err)
@@ -156,6 +157,9 @@
 			if f.want >= 0 && f.size != f.want {
 				err = io.ErrUnexpectedEOF
 			}
+			if err == nil && ended != nil {
+				ended()
+			}
 			f.end(err)
 			return err == nil, err
 		}
--- a/internal/exchange/serve_test.go
+++ b/internal/exchange/serve_test.go
@@ -5,11 +5,14 @@
 	"io"
 	"log/slog"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/engine"
@@ -131,3 +134,75 @@
 		}
 	})
 }
+
+// uploading is a client whose large body has its last byte still to come.
+type uploading struct {
+	*client
+	file *body.File
+	last func() // before the last byte can go on
+	then func() // after that
+}
+
+func (u *uploading) LargeBody() *body.File { return u.file }
+
+func (u *uploading) ReadBody(_ *fasthttp.RequestCtx, ended func()) (int, string) {
+	u.last()
+	_, err := u.file.Fill(strings.NewReader("x"), nil, ended)
+	u.then()
+	if err != nil {
+		return 400, "unreadable"
+	}
+	return 0, ""
+}
+
+// asked is a router that counts arrivals.
+type asked struct {
+	to    Router
+	times atomic.Int64
+	last  atomic.Pointer[request]
+}
+
+func (a *asked) Arrive(x engine.Exchange) engine.Ticket {
+	a.times.Add(1)
+	a.last.Store(x.(*request))
+	return a.to.Arrive(x)
+}
+
+// TestAnswersAheadOfARequestsEnd: one that comes before the last byte can have gone on is to nothing that has run, and the
+// request is asked for again; one that comes after may be to what has run, and must not be.
+func TestAnswersAheadOfARequestsEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		late   bool
+		asked  int64
+		status int
+	}{"before its end": {false, 2, 504}, "after its end": {true, 1, 502}} {
+		t.Run(name, func(t *testing.T) {
+			count := &counters.Counters{}
+			r := &asked{to: silentEngine(t, count)}
+			d := desk(r, count)
+			d.classes["look"] = logic.Class{Name: "look", Effect: logic.Unsafe}
+			f, err := body.New(t.TempDir(), 1, 4, &count.Bodies).Begin(1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Release()
+			answer := func() {
+				for end := time.Now().Add(10 * time.Second); count.Engine.Events.Get() == 0 && time.Now().Before(end); {
+					time.Sleep(time.Millisecond) // until the engine has taken the arrival: it answers no sooner
+				}
+				r.last.Load().Finish(engine.Answer{Kind: engine.Failed})
+			}
+			nothing := func() {}
+			u := &uploading{newClient(), f, answer, nothing}
+			if c.late {
+				u.last, u.then = nothing, answer
+			}
+			ctx := lookRequest(50)
+			ctx.Request.Header.SetMethod("POST")
+			d.Serve(ctx, u)
+			if n := r.times.Load(); n != c.asked || ctx.Response.StatusCode() != c.status {
+				t.Errorf("decided on %d times, status %d", n, ctx.Response.StatusCode())
+			}
+		})
+	}
+}
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -9,16 +9,13 @@
 	"tackhub.example/tackhub/logic"
 )
 
-// EndEarly ends a connection whose request had its answer before it was whole: what is left of it goes unread.
-const EndEarly = "answered_early"
-
 // uploader is a client whose request may have a large body that is still coming.
 type uploader interface {
 	// LargeBody is kept in a file; nil where the request has none such.
 	LargeBody() *body.File
-	// ReadBody reads what is still to come, unless stop says that nobody needs it any more. It tells why the body cannot
-	// be taken, and with which status, or "".
-	ReadBody(ctx *fasthttp.RequestCtx, stop func() bool) (status int, code string)
+	// ReadBody reads what is still to come, and calls ended before its last byte can go on to a server. It tells why the
+	// body cannot be taken, and with which status, or "".
+	ReadBody(ctx *fasthttp.RequestCtx, ended func()) (status int, code string)
 }
 
 // kept is a large body in its file, or nothing.
@@ -50,32 +47,32 @@
 	return clock.Millis(body.Longest)
 }
 
-// upload reads what is still to come of a large body while the request is on its way. It tells how the request ended if that
-// was before its body did, else nil.
+// upload reads what is still to come of a large body while the request is on its way. It tells how the request ended if its
+// body did not come whole, else nil.
 func (r *request) upload(ctx *fasthttp.RequestCtx, client Client) *ending {
 	if !r.taken.coming {
 		return nil
 	}
-	status, code := client.(uploader).ReadBody(ctx, func() bool { return len(r.answer) > 0 })
+	early := false // answered while no server can have had its last byte, so nothing has run
+	status, code := client.(uploader).ReadBody(ctx, func() { early = len(r.answer) > 0 })
 	if code != "" {
 		r.drop() // no attempt has its last byte: nothing has run
 		client.Ends(EndBad)
 		ctx.SetConnectionClose()
 		return &ending{status: status, rejected: code}
 	}
-	if !large(client).Whole() {
-		client.Ends(EndEarly)
-		ctx.SetConnectionClose()
-		a := <-r.answer
-		if a.Rest != nil { // no server can have begun it: not an answer to it
-			a.Rest.Close()
-			a = engine.Answer{Kind: engine.Failed}
-		}
-		e := endingOf(a)
-		return &e
-	}
 	// Its time counts from its last byte.
 	r.until = r.desk.o.Clock.At(client.LastRead()) + r.wait
-	r.ticket.Uploaded(r.until)
+	if !early {
+		r.ticket.Uploaded(r.until)
+		return nil
+	}
+	// There was no place for it ahead of its end, or its server broke off. Only now it is a request: it is decided on as
+	// one. An answer that came later than that may be to what has run, and stands.
+	if a := <-r.answer; a.Rest != nil {
+		a.Rest.Close()
+	}
+	r.taken.coming, r.wire.expires = false, r.until
+	r.route()
 	return nil
 }
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -102,7 +102,7 @@
 	if size >= 0 {
 		pause = in.soon(size)
 	}
-	_, err = f.Fill(io.MultiReader(bytes.NewReader(first), in), pause)
+	_, err = f.Fill(io.MultiReader(bytes.NewReader(first), in), pause, nil)
 	return err
 }
 
@@ -125,10 +125,10 @@
 // LargeBody is the body of the request in hand where it is a large one, else nil.
 func (c *conn) LargeBody() *body.File { return c.large }
 
-// ReadBody reads what is still to come of a large body, unless stop says after some piece that nobody needs it any more. It
-// tells why the body cannot be taken, and with which status, or "".
-func (c *conn) ReadBody(ctx *fasthttp.RequestCtx, stop func() bool) (status int, code string) {
-	if _, err := c.large.Fill(c.rest, func(int64) bool { return stop() }); err != nil {
+// ReadBody reads what is still to come of a large body, and calls ended before its last byte can go on. It tells why the
+// body cannot be taken, and with which status, or "".
+func (c *conn) ReadBody(ctx *fasthttp.RequestCtx, ended func()) (status int, code string) {
+	if _, err := c.large.Fill(c.rest, nil, ended); err != nil {
 		return c.server.bodyFault(ctx, err)
 	}
 	return 0, ""
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -467,7 +467,7 @@
 	if load.Queued && load.Waiting >= 1 { // all that it works on at once, for once
 		l.width += widthGain * (max(1, load.InFlight-load.Waiting) - l.width)
 	}
-	s.others = max(0, load.InFlight-float64(s.inflight-s.lost))
+	s.others = max(0, load.InFlight-float64(s.inflight-s.lost-s.ahead))
 	s.othersAvg = l.usualOthers(s) + 0.2*(s.others-l.usualOthers(s))
 	s.reportAt = l.now
 	l.crowd += crowdGain * (s.others - l.crowd)
@@ -518,7 +518,7 @@
 
 // countHands estimates the requests a server has in hand. Reports age toward their mean.
 func (l *Logic) countHands(s *server) float64 {
-	own := float64(s.inflight - s.lost)
+	own := float64(s.inflight - s.lost - s.ahead)
 	if !l.set.Reports {
 		return own
 	}
@@ -908,7 +908,7 @@
 func (l *Logic) send(r *request, s *server) {
 	s.budget.left -= r.cost
 	l.changed = true
-	a := attempt{server: s, sentAt: l.begun(r), turns: max(1, l.turns(l.occupancy(s), r.cost)),
+	a := attempt{server: s, sentAt: l.begun(r, s), turns: max(1, l.turns(l.occupancy(s), r.cost)),
 		expected: l.expected(s, r), open: true}
 	r.attempts = append(r.attempts, a)
 	r.held, r.open = false, r.open+1
@@ -927,7 +927,8 @@
 	}
 	a := &r.attempts[e.Attempt]
 	s := a.server
-	a.open, a.sentAt, l.changed = false, min(a.sentAt, l.now), true
+	l.settle(a)
+	a.open, l.changed = false, true
 	r.open--
 	l.outstanding--
 	s.inflight--
--- a/logic/state.go
+++ b/logic/state.go
@@ -171,6 +171,7 @@
 	failedAt      Millis // the last failure noted
 	answeredTo    Millis // the latest send that was answered
 	lost          int    // own attempts that it does not have in hand, by its latest report
+	ahead         int    // own attempts whose requests are not whole yet: it cannot have those in hand
 	buckets       [bucketCount]bucket
 	recent        [recentCount]bool
 	recentLen     int
@@ -541,14 +542,23 @@
 }
 
 // begun is when a server that is sent a request now can begin it: for one whose body is still coming not before that has
-// come, whenever that is.
-func (l *Logic) begun(r *request) Millis {
+// come, whenever that is. Until then it is none in the server's hands.
+func (l *Logic) begun(r *request, s *server) Millis {
 	if r.uploading {
+		s.ahead++
 		return math.Inf(1)
 	}
 	return l.now
 }
 
+// settle puts an attempt whose request is whole, or over, into its server's hands.
+func (l *Logic) settle(a *attempt) {
+	if math.IsInf(a.sentAt, 1) {
+		a.sentAt, a.server.lookedAt = l.now, -1
+		a.server.ahead--
+	}
+}
+
 // uploaded counts a request's time, and that of its attempts, from now on.
 func (l *Logic) uploaded(e Uploaded) {
 	r := l.requests[e.ID]
@@ -560,7 +570,7 @@
 	r.arrived = l.now
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.open {
-			a.sentAt, a.server.lookedAt = min(a.sentAt, l.now), -1
+			l.settle(a)
 		}
 	}
 	l.dispatch()
--- a/logic/upload_test.go
+++ b/logic/upload_test.go
@@ -32,18 +32,22 @@
 			t.Fatalf("after %v ms: request %+v, overdue %v", now, r, l.overdue(s, false))
 		}
 	}
-	s.answeredTo = 0
+	if s.answeredTo = 0; l.countHands(s) != 0 || s.others != 0 {
+		t.Errorf("taken to hold %v, %v of them others'", l.countHands(s), s.others)
+	}
 	l.Step(6000, Uploaded{ID: 1, Expires: 6400})
 	r := l.requests[1]
 	if r.expires != 6400 || r.aimAt != 6100 || r.attempts[0].sentAt != 6000 {
 		t.Errorf("counted from its end: expires %v, aim %v, sent %v", r.expires, r.aimAt, r.attempts[0].sentAt)
 	}
-	l.now = 6050
+	if l.now = 6050; l.countHands(s) < 1 {
+		t.Errorf("taken to hold %v once it is whole", l.countHands(s))
+	}
 	if l.overdue(s, false) != 50 {
 		t.Errorf("silent for %v ms", l.overdue(s, false))
 	}
 	l.Step(6080, AttemptEnd{ID: 1, Server: to, Result: OK, Elapsed: 80})
-	if l.requests[1] != nil || s.failures != 0 || l.lag != 0 || s.answeredTo != 6000 {
+	if l.requests[1] != nil || s.failures != 0 || l.lag != 0 || s.answeredTo != 6000 || s.ahead != 0 {
 		t.Errorf("after the answer: lag %v, answered to %v, %d failures", l.lag, s.answeredTo, s.failures)
 	}
 }
