--- a/internal/handover/keeper.go
+++ b/internal/handover/keeper.go
@@ -10,10 +10,15 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// readyTime is how long the next process may take until it serves. One that hangs must not keep those after it out; by the
+// operators' page it is ready within 6 s.
+const readyTime = 15 * time.Second
+
 // Node is the process that serves, as the next one finds it.
 type Node interface {
 	// Beside says that there is a second process from now on, or no longer.
@@ -152,8 +157,9 @@
 		k.heir = nil
 		k.mu.Unlock()
 	}()
+	limit := readyTime // then for as long as the next one lives
 	for {
-		m, err := l.read(0) // as long as the next one lives; it may take its time to start
+		m, err := l.read(limit)
 		if err != nil {
 			return err
 		}
@@ -175,6 +181,7 @@
 			}
 			k.log.Info("the next process serves beside this one", "code", "handover")
 			k.node.Succeeded()
+			limit = 0
 		default:
 			k.node.Hear(m)
 		}
