Let only connections that made way unfinished read no further

Found by reading: a connection told to close between requests, whose next request crossed that, kept its one deadline of 2.5 s, so that a large body on it would have been cut off at 64 kB a second (ingress/conn.go, receive.go: doomed also where it was not pressed).

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -57,6 +57,7 @@
 	since    time.Time // idle since
 	requests int
 	began    time.Time // the request that is coming or in hand
+	pressed  bool      // made way with a request that was not whole: only what is here already is read
 	busy     bool      // a request is in hand: whole, and not yet answered
 
 	large *body.File // of the request in hand; the connection's goroutine alone has it and what is still to come of it
@@ -82,7 +83,7 @@
 		if derr := c.Conn.SetReadDeadline(time.Now().Add(headTime)); derr == nil {
 			n, err = c.Conn.Read(p)
 		}
-		if n > 0 && !c.isIdle() { // the rest of it must be here as well
+		if n > 0 && c.isPressed() { // the rest of it must be here as well
 			_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // it fails on a broken connection alone
 		}
 	}
@@ -199,7 +200,7 @@
 func (c *conn) crossing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle || c.doomed != ""
+	return c.idle || c.pressed
 }
 
 // silentFor is how long nothing has come on a connection whose request is not whole yet; false where it has none such.
@@ -216,14 +217,14 @@
 	if c.idle || c.busy || c.handled || c.doomed != "" {
 		return false
 	}
-	c.doomed = endEvicted
+	c.doomed, c.pressed = endEvicted, true
 	return c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
-func (c *conn) isIdle() bool {
+func (c *conn) isPressed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle
+	return c.pressed
 }
 
 // doom ends the connection if it stands between requests. A request that has arrived meanwhile is still served.
@@ -241,7 +242,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.doomed != "" {
+	if c.pressed || c.doomed != "" && c.idle {
 		return nil
 	}
 	if first := c.began.Add(headTime); c.requests == 0 && t.After(first) {
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -45,7 +45,7 @@
 func (c *conn) pace(began time.Time, got int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.doomed != "" { // told to make way: what has come is still read
+	if c.pressed {
 		return nil
 	}
 	least := c.began.Add(headTime)
