--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,10 @@
 	// the connections over HTTP on a node with the least descriptors.
 	nstart = 28
 
+	// manyNodes is where a node keeps spareMany idle connections to a server at the most: servers hold only so many of all
+	// nodes together, and a node's part of the traffic falls with their number.
+	manyNodes, spareMany = 8, 1
+
 	// probeTime is a probe's: by then the request that it was made for has long been sent elsewhere, and a
 	// server that takes longer for it cannot serve in time.
 	probeTime = 50 * time.Millisecond
@@ -106,7 +110,7 @@
 		MustAsk: clock.Span(set.MustAskIn), Log: log, Count: count}, c.Known)
 	n.roster = roster.New(n.catalog, lateNews{n})
 	n.pool = upstream.New(upstream.Options{Addresses: n.roster, Connect: clock.Span(connect(set)),
-		Idle: clock.Span(c.Settings.ConnIdle), Probe: probeTime, Most: each, Each: max(4, int(float64(each)*eachShare)),
+		Idle: clock.Span(c.Settings.ConnIdle), Probe: probeTime, Most: each, Each: max(4, int(float64(each)*eachShare)), Spare: spare(set.Nodes),
 		Reports: set.Reports, Waiting: c.Settings.WaitingAt >= 0, Log: log, Count: count})
 	n.back = back.New(back.Options{Addresses: n.roster, NStart: nstart, Again: clock.Span(set.DrainGrace / 2),
 		ParseLoad: n.pool.Load, Log: log, Count: &count.CoapBack})
@@ -215,6 +219,14 @@
 // wait lets the engine and the pool end, so that their last lines and counts are there.
 func (n *node) wait() { n.ending.Wait() }
 
+// spare is how many idle connections to one server are kept; 0: all.
+func spare(nodes int) int {
+	if nodes > manyNodes {
+		return spareMany
+	}
+	return 0
+}
+
 func connect(set logic.Settings) logic.Millis {
 	if set.ConnectTimeout > 0 {
 		return set.ConnectTimeout
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,7 @@
 	endWrite      = "write_failed"     // broke before the request was written whole
 	endAsked      = "server_asked"     // the answer said that it would close
 	endGone       = "address_gone"     // the server left the list or moved
+	endSpare      = "spare"            // idle beside another one, where nodes are many
 	endEvicted    = "descriptor_limit" // made room for another
 	endExit       = "exit"             // the node ends
 	endPanic      = "panic"            // handling what came on it went wrong
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,6 +33,7 @@
 	Probe     time.Duration // a probe's time
 	Most      int           // connections in all
 	Each      int           // connections to one server
+	Spare     int           // of these, idle ones; 0: as many as there are
 	Reports   bool          // servers report their load
 	Waiting   bool          // ... with the requests that wait
 	Log       *slog.Logger
@@ -124,11 +125,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.id] = append(p.idle[c.id], c)
+	if list := p.idle[c.id]; p.o.Spare > 0 && len(list) > p.o.Spare { // a server holds only so many, of all nodes together
+		p.idle[c.id] = append([]*conn(nil), list[1:]...)
+		go p.end(list[0], endSpare, nil) // it takes the lock
+		return
+	}
 	if p.total <= p.o.Most/p.parts {
 		return
 	}
 	if victim := p.longestIdle(); victim != nil { // there is another process now
-		go p.end(victim, endEvicted, nil) // it takes the lock
+		go p.end(victim, endEvicted, nil)
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -343,3 +343,26 @@
 		}
 	}
 }
+
+// TestSpareConnectionsAreFewWhereNodesAreMany gives back more connections to a server than may stand idle.
+func TestSpareConnectionsAreFewWhereNodesAreMany(t *testing.T) {
+	for spare, want := range map[int]int64{0: 3, 1: 1, 2: 2} {
+		addr, _ := listener(t)
+		p, count := testPool(addresses{"s": addr}, 8, 8)
+		p.o.Spare = spare
+		var held []*conn
+		for range 3 {
+			held = append(held, mustGet(t, p, "s"))
+		}
+		for _, c := range held {
+			p.put(c)
+		}
+		for end := time.Now().Add(10 * time.Second); count.Servers.Open.Get() != want && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if n := count.Servers.Open.Get(); n != want || count.ServerEnds.Get(endSpare) != 3-want {
+			t.Errorf("%d spare: %d stay", spare, n)
+		}
+		p.sweep(true)
+	}
+}
