--- /dev/null
+++ b/cmd/tackhub/deploy_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+)
+
+// TestDeployedNodeIsLinkedDynamically builds the node as deploy/balancer.toml says. It guards against a build line without
+// external linking: Go then makes a static program, which the fleet trial's library can't be loaded into.
+func TestDeployedNodeIsLinkedDynamically(t *testing.T) {
+	var deploy struct {
+		Build, Run string
+		Packages   []string
+	}
+	if _, err := toml.DecodeFile("../../deploy/balancer.toml", &deploy); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(deploy.Run, "exec ") || strings.ContainsAny(deploy.Run, ";&|") {
+		t.Errorf("run is %q, want one exec", deploy.Run)
+	}
+	if len(deploy.Packages) == 0 {
+		t.Error("packages is empty: cgo needs a C compiler and its headers")
+	}
+	const output = "-o bin/ ./cmd/..."
+	if !strings.Contains(deploy.Build, output) {
+		t.Fatalf("build is %q, want it to end in %q", deploy.Build, output)
+	}
+	dir := t.TempDir()
+	build := exec.Command("sh", "-c", strings.Replace(deploy.Build, output, "-o "+dir+"/ ./cmd/tackhub", 1))
+	build.Dir = "../.."
+	build.Env = append(os.Environ(), "GOFLAGS=")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v\n%s", deploy.Build, err, out)
+	}
+	f, err := elf.Open(filepath.Join(dir, "tackhub"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	for _, p := range f.Progs {
+		if p.Type == elf.PT_INTERP {
+			return
+		}
+	}
+	t.Error("the built node has no interpreter: it is linked statically")
+}
