Send at once where nothing is known of the servers and no probe would tell more

Ruled out: retries past their aim (0), exclusion (0 servers), attempts (31 refusals), no candidate (0); cold servers left out were 15 of 179 in the median, so they are no more than a part. At fault: pick() keeps 0.6 of the time against variance on top of the standard deviation that countHands adds where nothing was heard, and held requests wait for reports that cannot come: a probe costs 0.08 here, seven requests pay for one. Changed: the limit goes to the time left, as far as the load is not known (age of the report, or messages) and as far as no probe may be spent; where each request may pay for a probe nothing changes. Refused and failed requests carry a reason, counted in given_up.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -166,6 +166,7 @@
 		Late    Count `json:"late"`    // ended at the server after they were given up
 	} `json:"attempts"`
 	Outcomes Group `json:"outcomes"` // of attempts, as told to the module
+	GivenUp  Group `json:"given_up"` // requests that the module refused or failed, by its reason
 	Probes   struct {
 		Sent Count `json:"sent"`
 		Open Count `json:"open"`
--- a/internal/engine/carry.go
+++ b/internal/engine/carry.go
@@ -11,6 +11,10 @@
 	logic.Unreachable: "unreachable", logic.Broken: "broken", logic.Cancelled: "cancelled", logic.Void: "void",
 }
 
+var reasonNames = [...]string{
+	logic.NoClass: "no_class", logic.Stale: "stale", logic.NoPlace: "no_place", logic.Tried: "tried",
+}
+
 // ResultName is a result's name in counters and log lines.
 func ResultName(r logic.Result) string { return resultNames[r] }
 
@@ -24,8 +28,10 @@
 			e.withdraw(c.attempts[a.Attempt])
 		}
 	case logic.Refuse:
+		e.count.GivenUp.Inc(reasonNames[a.Why])
 		e.answer(a.ID, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
 	case logic.Fail:
+		e.count.GivenUp.Inc(reasonNames[a.Why])
 		e.answer(a.ID, Answer{Kind: Failed})
 	case logic.SetTimer:
 		e.timers.add(a.At, a.Token, nil)
--- a/logic/api.go
+++ b/logic/api.go
@@ -238,14 +238,29 @@
 	Attempt int
 }
 
+// Reason is why a request got no service.
+type Reason int
+
+// The reasons.
+const (
+	NoClass Reason = iota // the settings do not name its class
+	Stale                 // a retry whose aim had passed when it came
+	NoPlace               // no server that it may go to was expected to answer in time
+	Tried                 // attempts ended without an answer, and another may not be sent or would come too late
+)
+
 // Refuse is the final answer that promises a retry to be harmless.
 type Refuse struct {
 	ID         RequestID
 	RetryAfter Millis // 0: no indication
+	Why        Reason
 }
 
 // Fail is the final answer that promises nothing.
-type Fail struct{ ID RequestID }
+type Fail struct {
+	ID  RequestID
+	Why Reason
+}
 
 // SetTimer asks for a TimerFired at the given time.
 type SetTimer struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,7 +7,6 @@
 // and docs/oncall.md for the log lines.
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -146,10 +145,6 @@
 	return l.out
 }
 
-func (l *Logic) do(a Action) { l.out = append(l.out, a) }
-
-func (l *Logic) logf(format string, args ...any) { l.do(Log{fmt.Sprintf(format, args...)}) }
-
 func (l *Logic) start() {
 	l.started, l.feelers.at = true, l.now
 	if l.set.Subscribe { // nodes that start together must not all call at once: most calls would fail
@@ -519,20 +514,23 @@
 // countHands estimates the requests a server has in hand. Reports age toward their mean.
 func (l *Logic) countHands(s *server) float64 {
 	own := float64(s.inflight - s.lost - s.ahead)
-	if !l.set.Reports {
+	if s.doubt = 0; !l.set.Reports {
 		return own
 	}
+	s.doubt = 1
 	usual := l.usualOthers(s)
 	usual += math.Sqrt(usual) // not freshly known: one standard deviation more than the mean
 	if l.hearing() {
 		trust := math.Exp(-l.hearGap / (4 * max(1, l.unit))) // half a gap old in the mean
 		usual += trust * (s.toldLoad() - usual)
+		s.doubt -= trust
 	}
 	if s.reportAt == 0 {
 		return own + usual
 	}
-	age := l.now - s.reportAt + l.lag
-	return own + usual + (s.others-usual)*math.Exp(-age/(2*max(1, l.unit)))
+	known := math.Exp(-(l.now - s.reportAt + l.lag) / (2 * max(1, l.unit)))
+	s.doubt *= 1 - known
+	return own + usual + (s.others-usual)*known
 }
 
 // turns is how many requests' times pass until a server that holds so many is done with one more: it works on
@@ -625,7 +623,7 @@
 		return
 	}
 	if c == nil {
-		l.do(Refuse{ID: e.ID}) // a class the settings do not name
+		l.do(Refuse{ID: e.ID, Why: NoClass})
 		return
 	}
 	r := &request{id: e.ID, class: c, tenant: l.tenants[e.Tenant], arrived: l.now, expires: e.Expires, cost: 1}
@@ -645,7 +643,7 @@
 	}
 	l.countArrival(r, e.Retry)
 	if r.late && c.LateShare <= 0 { // worth nothing by now: work on it would make others late as well
-		l.giveUp(r)
+		l.giveUp(r, Stale)
 		return
 	}
 	l.hold(r)
@@ -697,10 +695,6 @@
 // probeWait lets answers come in that a node looks at once a tick.
 func (l *Logic) probeWait() Millis { return max(probeWait, 2*l.set.Tick) }
 
-func (l *Logic) hold(r *request) {
-	r.held, l.heldQueue = true, append(l.heldQueue, r)
-}
-
 // dispatch sends what can make its aim, most valuable first, and gives up at once on what cannot.
 func (l *Logic) dispatch() {
 	if len(l.heldQueue) == 0 {
@@ -738,7 +732,7 @@
 			}
 		}
 		if l.hopeless(r, ahead) {
-			l.giveUp(r)
+			l.giveUp(r, NoPlace)
 			continue
 		}
 		if l.now > r.probing+askAgain*l.unit {
@@ -843,8 +837,9 @@
 	most := packed * math.Round(l.width) * (l.room(r.class, fitShare) / fitShare)
 	limit := min(l.room(r.class, fitShare)*(min(r.aimAt, r.expires)-r.arrived),
 		l.room(r.class, heldShare)*l.timeLeft(r))
+	blind := max(0, l.timeLeft(r)-limit) * (1 - l.news()) // beyond the limit, where nothing is known of the load
 	if r.late {
-		limit = heldShare * l.timeLeft(r)
+		limit, blind = heldShare*l.timeLeft(r), 0
 		most = math.Round(l.width) // what is late must make nothing else late
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
@@ -856,7 +851,8 @@
 			cost *= 1 - warmGain
 		}
 		s.expect = l.feltUnit(s) * l.turns(l.occupancy(s), cost)
-		if l.occupancy(s) < most && s.expect <= limit || !r.late && l.occupancy(s) < idle && s.expect <= risk {
+		if l.occupancy(s) < most && s.expect <= limit+s.doubt*blind ||
+			!r.late && l.occupancy(s) < idle && s.expect <= risk {
 			s.price = s.expect + s.bad*r.class.Aim
 			if s.Zone != l.set.Zone {
 				s.price += crossing
@@ -887,6 +883,17 @@
 	return nil
 }
 
+// news is the chance that a request held back hears of a free server: the probes that may be spent on each.
+// Where they are dear and nodes many nothing is known of nearly all servers, and waiting tells nothing. The
+// doubt is in the hands that such a server is taken to have: keeping time in reserve as well refused a fifth
+// of all requests while servers had room.
+func (l *Logic) news() float64 {
+	if !l.set.MayProbe {
+		return 0
+	}
+	return l.ease * min(1, probeSpend/max(1e-9, l.set.ProbePrice))
+}
+
 // room widens a share of the time left where a late answer still earns something: less is lost by a wrong
 // guess. But where the goal has a tail, more is.
 func (l *Logic) room(c *classState, share float64) float64 {
@@ -966,19 +973,19 @@
 	free := last == Cancelled || last == Unreachable
 	may := len(r.attempts) < l.set.MaxAttempts && l.now < r.aimAt && (!r.mayRun || r.class.Effect != Unsafe)
 	if l.now >= r.expires-l.set.Tick || !may || !free && !l.retries.take() {
-		l.giveUp(r)
+		l.giveUp(r, Tried)
 		return
 	}
 	l.hold(r)
 }
 
 // giveUp gives the final answer at once: a refusal where a retry is surely harmless, else a failure.
-func (l *Logic) giveUp(r *request) {
+func (l *Logic) giveUp(r *request, why Reason) {
 	c := r.class
 	if (r.mayRun || r.open > 0) && (c.Effect == Unsafe || c.Effect == Keyed && c.Group != GroupAll) {
-		l.do(Fail{r.id})
+		l.do(Fail{r.id, why})
 	} else {
-		l.do(Refuse{ID: r.id, RetryAfter: l.retryAfter(r)})
+		l.do(Refuse{ID: r.id, RetryAfter: l.retryAfter(r), Why: why})
 		if len(l.refused) >= refusedMost {
 			clear(l.refused)
 		}
@@ -999,13 +1006,6 @@
 	return max(0, min(l.set.MaxRetryAfter, wait, comeBack*l.timeLeft(r)))
 }
 
-func (l *Logic) wakeSweep() {
-	if !l.sweeping && len(l.heldQueue) > 0 {
-		l.sweeping = true
-		l.do(SetTimer{"sweep", l.now + sweepEvery})
-	}
-}
-
 // ---- worth: who is served when not all can be
 
 // countArrival books a first try to its class and tenant, and tells whether the tenant is over its share.
@@ -1030,18 +1030,6 @@
 	l.book(r, func(s *share, w float64) { s.asked += w })
 }
 
-// quotaScale is this node's part of the tenants' quotas. It is never more than the whole: with all tenants
-// over their quotas the loudest must not raise its own.
-func (l *Logic) quotaScale() float64 {
-	rate, quota := 0.0, 0.0
-	for _, t := range l.set.Tenants {
-		st := l.tenants[t.Name]
-		rate += st.rate * math.Exp(-(l.now-st.rateAt)/rateMemory)
-		quota += t.Quota
-	}
-	return min(1, max(1/float64(l.set.Nodes), rate/max(1, quota)))
-}
-
 // marginalWorth is what serving a request adds to the operator's goal for each unit of work: its worth in
 // the whole, and more where its class or its tenant is the worst served.
 func (l *Logic) marginalWorth(r *request) float64 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -647,7 +647,7 @@
 		}
 		b.acts = b.acts[:0]
 		b.l.out = nil
-		b.l.giveUp(r)
+		b.l.giveUp(r, NoPlace)
 		if refused := count[Refuse](b.l.out) == 1; refused != (group == GroupAll) {
 			t.Errorf("group %d: given up with %v", group, b.l.out)
 		}
--- a/logic/state.go
+++ b/logic/state.go
@@ -3,6 +3,7 @@
 // What a node remembers, and plain bookkeeping over it. No decisions: those are in logic.go.
 
 import (
+	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -192,6 +193,7 @@
 	hash          uint64
 	lookedAt      Millis  // when the two below were worked out
 	hands         float64 // requests it is taken to hold
+	doubt         float64 // how little of that is known, from 0 to 1
 	felt          Millis  // for each of them
 	bad           float64 // share of requests that fail there
 	name          uint16  // in messages
@@ -575,3 +577,30 @@
 	}
 	l.dispatch()
 }
+
+func (l *Logic) do(a Action) { l.out = append(l.out, a) }
+
+func (l *Logic) logf(format string, args ...any) { l.do(Log{fmt.Sprintf(format, args...)}) }
+
+func (l *Logic) hold(r *request) {
+	r.held, l.heldQueue = true, append(l.heldQueue, r)
+}
+
+func (l *Logic) wakeSweep() {
+	if !l.sweeping && len(l.heldQueue) > 0 {
+		l.sweeping = true
+		l.do(SetTimer{"sweep", l.now + sweepEvery})
+	}
+}
+
+// quotaScale is this node's part of the tenants' quotas. It is never more than the whole: with all tenants
+// over their quotas the loudest must not raise its own.
+func (l *Logic) quotaScale() float64 {
+	rate, quota := 0.0, 0.0
+	for _, t := range l.set.Tenants {
+		st := l.tenants[t.Name]
+		rate += st.rate * math.Exp(-(l.now-st.rateAt)/rateMemory)
+		quota += t.Quota
+	}
+	return min(1, max(1/float64(l.set.Nodes), rate/max(1, quota)))
+}
