Prefer servers that just took requests where news of the list is late

Need: a discovery that has no room, or is silent, for longer than news may take leaves a node that can't know which servers drain; what it may send to is a decision. The catalog tells the module once no answer came for 6 s (the protocol's figure for told), with a log line and two counters; from half the drain grace on the module prefers servers that took a request of its own within that time, since one that drains takes none; where there is none all stay open. Tests: the module with and without sure servers, the catalog on a fake clock (told once, ended by an answer that has nothing new). With the inventory on nothing is told: discovery is one source among others.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -88,6 +88,10 @@
 
 	running atomic.Bool
 
+	// Of the goroutine in Run: when the last answer came, and whether the module knows that it was too long ago.
+	informed time.Time
+	late     bool
+
 	mu       sync.RWMutex
 	members  map[logic.ServerID]Member
 	revision int64
@@ -169,6 +173,7 @@
 func (c *Catalog) Run(ctx context.Context, known List, news News) {
 	c.news = news
 	c.running.Store(true)
+	c.informed = time.Now()
 	// Told even where nothing is known: it is the module's first event, without which one that has to ask for
 	// the list would not begin to.
 	c.tell(known, logic.ListCached)
@@ -274,6 +279,12 @@
 
 func (c *Catalog) failed(err error, first bool) {
 	c.count.List.Failed.Inc()
+	if !c.late && time.Since(c.informed) > toldLatest { // what it had to tell then counts as told by now
+		c.late = true
+		c.count.List.Late.Inc()
+		c.log.Warn("no news of the list for longer than it may take", "code", "list_late", "for_ms", time.Since(c.informed).Milliseconds())
+		c.news.ListNews(logic.ServerList{Form: logic.ListLate})
+	}
 	if first { // the first of a row: an outage must not fill the log
 		c.log.Warn("discovery call failed, the last list stands", "code", "list_failed", "error", err)
 	}
@@ -314,11 +325,14 @@
 
 func (c *Catalog) take(list List, at int64) {
 	c.locate(list) // before the module can send there
+	late := c.late
+	c.informed, c.late = time.Now(), false
+	c.count.List.Informed.Set(c.informed.UnixMilli())
 	switch {
 	case list.Complete:
 		c.count.List.Full.Inc()
 		c.tell(list, logic.ListFull)
-	case len(list.Members) > 0 || at < 0:
+	case len(list.Members) > 0 || at < 0 || late:
 		c.count.List.Delta.Inc()
 		c.tell(list, logic.ListDelta)
 	}
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -342,3 +342,50 @@
 		}
 	})
 }
+
+// forms counts what a follower tells the module.
+type forms struct {
+	mu   sync.Mutex
+	told []logic.ListForm
+}
+
+func (f *forms) ListNews(l logic.ServerList) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = append(f.told, l.Form)
+}
+
+// TestLateNewsAreTold guards against a module that goes on sending by a list of which nothing has been heard for long, and
+// against one that never learns that discovery is back where it has nothing new to tell.
+func TestLateNewsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a := newCrowd(t), newAgency(3)
+		defer c.end()
+		c.agency("one", a)
+		a.set(func() { a.closed = true })
+		var got forms
+		count := &counters.Counters{}
+		f := New(Options{Address: "one", Nodes: followers, MustAsk: 10 * time.Second, Grace: grace, Dial: c.dial,
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: count}, a.known())
+		c.all = append(c.all, f)
+		go f.Run(c.ctx, a.known(), &got)
+		time.Sleep(toldLatest)
+		if count.List.Late.Get() != 0 {
+			t.Error("news is called late before it counts as told")
+		}
+		time.Sleep(2 * toldLatest)
+		if n := count.List.Late.Get(); n != 1 {
+			t.Errorf("late %d times in one outage, want once", n)
+		}
+		a.set(func() { a.closed = false })
+		time.Sleep(toldLatest + 5*time.Second) // the watch that is taken up again has nothing to tell for as long as it is held
+		got.mu.Lock()
+		defer got.mu.Unlock()
+		if last := got.told[len(got.told)-1]; last != logic.ListDelta {
+			t.Errorf("the last that the module heard is %v, want a delta", last)
+		}
+		if count.List.Informed.Get() == 0 {
+			t.Error("the time of the last answer is not counted")
+		}
+	})
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -192,6 +192,9 @@
 		Full   Count `json:"full"`
 		Delta  Count `json:"delta"`
 		Failed Count `json:"failed"` // calls to discovery that failed or told nonsense
+		Late   Count `json:"late"`   // times that no answer came for longer than news may take
+		// Informed is when the last answer came, as Unix time in milliseconds; 0: none yet.
+		Informed Count `json:"informed_unix_ms"`
 	} `json:"list"`
 	Inventory struct { // of the subsystem; all 0 where it is off
 		Lists        Count `json:"lists"`     // files taken
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -48,8 +48,18 @@
 	return addr, ok
 }
 
-// ListNews hands on what has no members: a call to discovery that failed.
-func (r *Roster) ListNews(l logic.ServerList) { r.news.ListNews(l) }
+// ListNews hands on what has no members: a call to discovery that failed, or news that may be late. With the inventory on the
+// latter is not the module's: discovery is one source among others, and nothing that it tells need reach the module.
+func (r *Roster) ListNews(l logic.ServerList) {
+	if l.Form == logic.ListLate {
+		r.mu.RLock()
+		defer r.mu.RUnlock()
+		if r.taker != nil {
+			return
+		}
+	}
+	r.news.ListNews(l)
+}
 
 // MemberNews takes discovery's news with all that they tell.
 func (r *Roster) MemberNews(l catalog.List, form logic.ListForm) {
--- a/logic/api.go
+++ b/logic/api.go
@@ -131,6 +131,7 @@
 	ListFull                   // all entries; what is absent is gone
 	ListCached                 // all entries as held before a restart, perhaps outdated
 	ListFailed                 // a call failed or the subscription broke; no entries
+	ListLate                   // news may count as told that has not come; no entries. A delta or a full list ends it
 )
 
 // Result is how an attempt or a probe ended.
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -52,3 +52,42 @@
 		t.Errorf("doubt %v right after a report, %v long after it", fresh, s.doubt)
 	}
 }
+
+// Guards against sending to servers that may have been told to drain long ago, where the list is late: those that took a
+// request of ours just now surely do not drain. Where there are none all stay open, and news ends it.
+func TestALateListPrefersServersThatJustTookRequests(t *testing.T) {
+	b := newBed(t, settings(), server3(20)...)
+	b.step(ServerList{Form: ListLate})
+	b.now += b.l.set.DrainGrace / 4
+	if n := len(b.l.candidates(&request{class: b.l.classes["read"]})); n != 20 {
+		t.Errorf("%d candidates within the grace, want all 20", n)
+	}
+	b.serve("read", 10, allOK)
+	for i := 0; i < 50; i++ {
+		b.now += b.l.set.DrainGrace / 10
+		id, acts := b.arrive("read", 2000)
+		s := sentTo(acts)
+		if i > 10 && b.l.unsure(b.l.servers[s]) {
+			t.Fatalf("sent to %s, which has taken nothing for half the grace", s)
+		}
+		b.now += 10
+		b.end(id, 0, s, OK, 10)
+	}
+	sure := len(b.l.candidates(&request{class: b.l.classes["read"]}))
+	if sure == 0 || sure == 20 {
+		t.Errorf("%d of 20 servers are open after news has been late for long", sure)
+	}
+	b.now += 10 * b.l.set.DrainGrace
+	b.step(TimerFired{"sweep"})
+	if n := len(b.l.candidates(&request{class: b.l.classes["read"]})); n != 20 {
+		t.Errorf("%d candidates where none is sure, want all 20", n)
+	}
+	b.step(ServerList{Form: ListLate})
+	b.serve("read", 10, allOK)
+	b.now += b.l.set.DrainGrace
+	b.serve("read", 10, allOK)
+	b.step(ServerList{Form: ListDelta})
+	if n := len(b.l.candidates(&request{class: b.l.classes["read"]})); n != 20 {
+		t.Errorf("%d candidates after news, want all 20", n)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -96,7 +96,7 @@
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
 		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{},
-		width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}, trialBy: Unsafe}
+		width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}, trialBy: Unsafe, lateAt: math.Inf(1)}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
@@ -175,19 +175,17 @@
 	l.do(SetTimer{"ask", l.askAt})
 }
 
-func (l *Logic) askWait() Millis {
-	if l.set.MustAskIn > 0 {
-		return min(askLongest, l.set.MustAskIn/2)
-	}
-	return askLongest
-}
-
 func (l *Logic) serverList(e ServerList) {
 	switch e.Form {
 	case ListFailed:
 		l.listFailed()
 		return
+	case ListLate:
+		l.lateAt = l.now
+		l.logf("server list: news may be late, preferring servers that just took requests of ours")
+		return
 	case ListFull, ListDelta:
+		l.lateAt = math.Inf(1)
 		if l.asking {
 			l.asking, l.subscribe, l.askDelay = false, true, askFirstWait
 		}
@@ -692,9 +690,6 @@
 	}
 }
 
-// probeWait lets answers come in that a node looks at once a tick.
-func (l *Logic) probeWait() Millis { return max(probeWait, 2*l.set.Tick) }
-
 // dispatch sends what can make its aim, most valuable first, and gives up at once on what cannot.
 func (l *Logic) dispatch() {
 	if len(l.heldQueue) == 0 {
@@ -803,9 +798,21 @@
 		}
 	}
 	l.pool = open
+	if !math.IsInf(l.lateAt, 1) {
+		if sure := slices.DeleteFunc(slices.Clone(open), l.unsure); len(sure) > 0 {
+			return sure
+		}
+	}
 	return open
 }
 
+// unsure says that a server may have been told to drain without this node's knowing: its list is late by more
+// than half the grace, and so long no request sent there was taken; one that drains takes none. Where none is
+// surely taking requests all are open: a lost discovery must not stop the service.
+func (l *Logic) unsure(s *server) bool {
+	return l.now > max(l.lateAt, s.answeredTo)+l.set.DrainGrace/2
+}
+
 // draw takes one of the servers in proportion to score.
 func (l *Logic) draw(from []*server) *server {
 	sum := 0.0
@@ -884,9 +891,8 @@
 }
 
 // news is the chance that a request held back hears of a free server: the probes that may be spent on each.
-// Where they are dear and nodes many nothing is known of nearly all servers, and waiting tells nothing. The
-// doubt is in the hands that such a server is taken to have: keeping time in reserve as well refused a fifth
-// of all requests while servers had room.
+// Where they are dear and nodes many nothing is known of nearly all servers, and waiting tells nothing. To
+// hold that against each of them, and to keep time in reserve, refused a fifth while servers had room.
 func (l *Logic) news() float64 {
 	if !l.set.MayProbe {
 		return 0
--- a/logic/state.go
+++ b/logic/state.go
@@ -29,6 +29,7 @@
 	outstanding    int // attempts out
 	started        bool
 	sweeping       bool
+	lateAt         Millis // since when news of the list may be missing; +Inf: none is
 	askDelay       Millis
 	askAt          Millis
 	asking         bool
@@ -604,3 +605,14 @@
 	}
 	return min(1, max(1/float64(l.set.Nodes), rate/max(1, quota)))
 }
+
+// askWait is the longest time between two calls for the list.
+func (l *Logic) askWait() Millis {
+	if l.set.MustAskIn > 0 {
+		return min(askLongest, l.set.MustAskIn/2)
+	}
+	return askLongest
+}
+
+// probeWait lets answers come in that a node looks at once a tick.
+func (l *Logic) probeWait() Millis { return max(probeWait, 2*l.set.Tick) }
