Add no deviation to unknown loads where no probe would tell better

The deviation (countHands) keeps a node that knows of some from taking silence for an empty server; where it knows of none it closes them all alike. It now counts by what probes may be spent.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -517,7 +517,7 @@
 	}
 	s.doubt = 1
 	usual := l.usualOthers(s)
-	usual += math.Sqrt(usual) // not freshly known: one standard deviation more than the mean
+	usual += l.news() * math.Sqrt(usual) // one standard deviation more than the mean, where others are known
 	if l.hearing() {
 		trust := math.Exp(-l.hearGap / (4 * max(1, l.unit))) // half a gap old in the mean
 		usual += trust * (s.toldLoad() - usual)
