Price a zone as a whole where nothing comes back from it and another answers

Each node met each lost server by itself, 150 ms a time with an aim of 80. Ruled out: single servers (all 179 were hit, from other zones), exclusion (three in a row never come where a node meets a server every ten seconds), discovery (its list changed only afterwards). At fault: pick() prices what a node saw of this very server alone. Changed: a zone with two sends in a row with nothing back, while another zone answers, is priced by the share of them, forgotten within seconds; refused connections and errors say that the zone is there. Also for a zone that lost its power or its link; harm where servers hang by chance in one zone alone: the rest there gets less for seconds.

--- a/logic/clone.go
+++ b/logic/clone.go
@@ -26,6 +26,10 @@
 			t.share, t.rate, t.rateAt, t.quota = o.share, o.rate, o.rateAt, o.quota
 		}
 	}
+	c.zones = make(map[string]*classHealth, len(l.zones))
+	for name, h := range l.zones {
+		*c.zone(name) = *h
+	}
 	c.servers, c.requests = make(map[ServerID]*server, len(l.servers)), make(map[RequestID]*request, len(l.requests))
 	servers := make(map[*server]*server, len(l.known))
 	take := func(s *server) {
@@ -88,6 +92,7 @@
 func (s *server) copy(from, to *Logic) *server {
 	n := *s
 	n.lookedAt = -1 // by other settings it may be judged otherwise
+	n.reach = to.zone(s.Zone)
 	n.told, n.open, n.classes = slices.Clone(s.told), slices.Clone(s.open), nil
 	for name, k := range to.classes { // the order of classes may be another
 		if o := from.classes[name]; o != nil && o.index < len(s.classes) {
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -91,3 +91,65 @@
 		t.Errorf("%d candidates after news, want all 20", n)
 	}
 }
+
+// Guards against finding out one server after the other that a zone is cut off, where a node meets each of them once in
+// seconds: of 3,800 pairs of a node and a server 3,109 waited for a connection once (split+mass).
+func TestAZoneFromWhichNothingComesIsAvoidedAsAWhole(t *testing.T) {
+	play := func(zones []string, silent func(zone string) Result, took Millis) (there int) {
+		set := fleet(0.1)
+		set.ConnectTimeout = 150
+		entries := server3(60)
+		for i := range entries {
+			entries[i].Zone = zones[i%len(zones)]
+		}
+		b := newBed(t, set, entries...)
+		for range 100 {
+			b.now += 50
+			id, acts := b.arrive("read", 2000)
+			for n := 0; sentTo(acts) != ""; n++ {
+				s := sentTo(acts)
+				result, elapsed := OK, Millis(10)
+				if zone := b.l.servers[s].Zone; zone == "cut" {
+					there++
+					result, elapsed = silent(zone), took
+				}
+				acts = b.end(id, n, s, result, elapsed)
+			}
+		}
+		return there
+	}
+	always := func(r Result) func(string) Result { return func(string) Result { return r } }
+	if n := play([]string{"a", "b", "cut"}, always(Unreachable), 150); n > 8 {
+		t.Errorf("%d of 100 requests waited at a zone that is cut off", n)
+	}
+	if n := play([]string{"a", "b", "cut"}, always(Unreachable), 1); n < 15 { // refused: the processes are gone, not the zone
+		t.Errorf("only %d sends to a zone whose servers refuse connections: each is to be judged alone", n)
+	}
+	if n := play([]string{"cut"}, always(Unreachable), 150); n < 60 {
+		t.Errorf("only %d sends where all there is is silent", n)
+	}
+}
+
+// Guards against a zone that stays shunned once it is back.
+func TestAZoneIsTriedAgain(t *testing.T) {
+	set := fleet(0.1)
+	set.ConnectTimeout = 150
+	entries := server3(20)
+	for i := range entries {
+		entries[i].Zone = []string{"a", "cut"}[i%2]
+	}
+	b := newBed(t, set, entries...)
+	far, near := b.l.servers["s1"], b.l.servers["s0"]
+	b.l.noteZone(near, OK, 10)
+	for range 5 {
+		b.l.noteZone(far, TimedOut, 300)
+	}
+	if b.l.zoneFault(far) == 0 || b.l.zoneFault(near) != 0 {
+		t.Fatalf("fault %v there and %v here", b.l.zoneFault(far), b.l.zoneFault(near))
+	}
+	b.now += 3 * staleDecay
+	b.step(TimerFired{"sweep"})
+	if f := b.l.zoneFault(far); f != 0 {
+		t.Errorf("still shunned with %v after some seconds without news", f)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,8 @@
 	classGood   = 0.1          // and many successes are needed to forget them
 	classFaulty = 0.3          // reached by one failure, kept by two
 	classMemory = 3 * cooldown // a trial of a class that must not run twice may cost a request
+	zoneSilent  = 0.5          // two sends with nothing back; one may have met a server that died
+	silentShare = 0.9          // of the time for a connection: one refused says that the zone is there
 	staleAfter  = 2000.0       // some service times without news make evidence stale
 	staleDecay  = 4000.0       // a shunned server's unit time returns to the fleet's over some seconds
 
@@ -96,7 +98,8 @@
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
 		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{},
-		width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}, trialBy: Unsafe, lateAt: math.Inf(1)}
+		width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}, trialBy: Unsafe, lateAt: math.Inf(1),
+		zones: map[string]*classHealth{}}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
@@ -229,10 +232,11 @@
 func (l *Logic) learn(e ServerEntry) {
 	s := l.servers[e.ID]
 	if s != nil && (e.State != Ready || e.Started == s.Started) {
-		s.ServerEntry = e
+		s.ServerEntry, s.reach = e, l.zone(e.Zone)
 		return
 	}
-	fresh := &server{ServerEntry: e, outcomeAt: l.now, budget: tokens{left: l.rng.Float64(), at: l.now}}
+	fresh := &server{ServerEntry: e, outcomeAt: l.now, budget: tokens{left: l.rng.Float64(), at: l.now},
+		reach: l.zone(e.Zone)}
 	fresh.unit = l.typicalUnit(fresh)
 	fresh.latency = fresh.unit
 	l.newcomer(fresh)
@@ -306,27 +310,13 @@
 	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true))
 }
 
-// overdue is how long a server has kept silent over its oldest attempt: alone, or for each request ahead of
-// it. An attempt that an answer to a later send has passed is lost or heavy, now and when its time is up: the
-// server is not to be shunned for it.
-func (l *Logic) overdue(s *server, each bool) Millis {
-	r, a := s.oldest()
-	if a == nil || l.classFault(s, r.class) {
-		return 0
-	}
-	silent := l.now - max(a.sentAt, s.outcomeAt)
-	if each {
-		silent /= a.turns
-	}
-	return silent
-}
-
 // observe books an attempt's outcome to its server's health.
 func (l *Logic) observe(s *server, r *request, a *attempt, result Result, elapsed Millis) {
 	if result == Void || (result == Cancelled && elapsed < a.expected) {
 		return // tells nothing of the server
 	}
 	good := result == OK
+	l.noteZone(s, result, elapsed)
 	if l.noteClass(s, r.class, result) && !good {
 		return
 	}
@@ -386,6 +376,21 @@
 	return false
 }
 
+// zoneFault is a zone's share of sends with nothing back, 0 but where another zone answers: it is lost or cut
+// off from here. A node that meets each server once in seconds would else wait for every one there in turn.
+func (l *Logic) zoneFault(s *server) float64 {
+	if s.reach.bad < zoneSilent {
+		return 0
+	}
+	bad := l.zoneBad(s.reach)
+	for _, h := range l.zones {
+		if bad >= zoneSilent/2 && h.tried && l.zoneBad(h) < bad/3 {
+			return bad
+		}
+	}
+	return 0
+}
+
 // judge applies the exclusion triggers and the trial. Refusals because a server is full are load, not a
 // fault: excluding for them would topple the next. Where a share of all fails a short row is but chance.
 func (l *Logic) judge(s *server, result Result, sentAt Millis) {
@@ -500,15 +505,6 @@
 	}
 }
 
-// usualOthers is what the other nodes usually have at a server: its own mean, or the fleet's where its last
-// report is old. A node that hears of a server once a minute must not take silence for an empty server.
-func (l *Logic) usualOthers(s *server) float64 {
-	if s.reportAt == 0 {
-		return l.crowd
-	}
-	return l.crowd + (s.othersAvg-l.crowd)*math.Exp(-(l.now-s.reportAt)/(crowdMemory*l.unit))
-}
-
 // countHands estimates the requests a server has in hand. Reports age toward their mean.
 func (l *Logic) countHands(s *server) float64 {
 	own := float64(s.inflight - s.lost - s.ahead)
@@ -538,11 +534,6 @@
 	return cost + max(0, ahead+1-width)/width
 }
 
-// expected is the time a request sent now would take.
-func (l *Logic) expected(s *server, r *request) Millis {
-	return l.feltUnit(s) * l.turns(l.occupancy(s), r.cost)
-}
-
 func (l *Logic) probeEnd(e ProbeEnd) {
 	s := l.servers[e.Server]
 	if s == nil {
@@ -860,7 +851,7 @@
 		s.expect = l.feltUnit(s) * l.turns(l.occupancy(s), cost)
 		if l.occupancy(s) < most && s.expect <= limit+s.doubt*blind ||
 			!r.late && l.occupancy(s) < idle && s.expect <= risk {
-			s.price = s.expect + s.bad*r.class.Aim
+			s.price = s.expect + (s.bad+l.zoneFault(s))*r.class.Aim
 			if s.Zone != l.set.Zone {
 				s.price += crossing
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -29,6 +29,7 @@
 	outstanding    int // attempts out
 	started        bool
 	sweeping       bool
+	zones          map[string]*classHealth
 	lateAt         Millis // since when news of the list may be missing; +Inf: none is
 	askDelay       Millis
 	askAt          Millis
@@ -190,7 +191,8 @@
 	othersAvg     float64
 	reportAt      Millis
 	probeOut      bool
-	budget        tokens // in work, while it is cold
+	budget        tokens       // in work, while it is cold
+	reach         *classHealth // its zone's, shared
 	hash          uint64
 	lookedAt      Millis  // when the two below were worked out
 	hands         float64 // requests it is taken to hold
@@ -616,3 +618,56 @@
 
 // probeWait lets answers come in that a node looks at once a tick.
 func (l *Logic) probeWait() Millis { return max(probeWait, 2*l.set.Tick) }
+
+// expected is the time a request sent now would take.
+func (l *Logic) expected(s *server, r *request) Millis {
+	return l.feltUnit(s) * l.turns(l.occupancy(s), r.cost)
+}
+
+// noteZone books whether anything came back from a server's zone. A refusal or an error did.
+func (l *Logic) noteZone(s *server, result Result, elapsed Millis) {
+	h := s.reach
+	h.bad, h.tried, h.at = l.zoneBad(h), true, l.now
+	if result == TimedOut || result == Unreachable && elapsed >= silentShare*l.set.ConnectTimeout {
+		h.bad += classWorse * (1 - h.bad)
+	} else {
+		h.bad -= classGood * h.bad
+	}
+}
+
+// zone gives the health of a zone as seen from here.
+func (l *Logic) zone(name string) *classHealth {
+	if l.zones[name] == nil {
+		l.zones[name] = &classHealth{}
+	}
+	return l.zones[name]
+}
+
+// zoneBad is the share of sends to a zone on which nothing came back, forgotten as fast as a shunned server's record.
+func (l *Logic) zoneBad(h *classHealth) float64 {
+	return h.bad * math.Exp(-(l.now-h.at)/staleDecay)
+}
+
+// overdue is how long a server has kept silent over its oldest attempt: alone, or for each request ahead of
+// it. An attempt that an answer to a later send has passed is lost or heavy, now and when its time is up: the
+// server is not to be shunned for it.
+func (l *Logic) overdue(s *server, each bool) Millis {
+	r, a := s.oldest()
+	if a == nil || l.classFault(s, r.class) {
+		return 0
+	}
+	silent := l.now - max(a.sentAt, s.outcomeAt)
+	if each {
+		silent /= a.turns
+	}
+	return silent
+}
+
+// usualOthers is what the other nodes usually have at a server: its own mean, or the fleet's where its last
+// report is old. A node that hears of a server once a minute must not take silence for an empty server.
+func (l *Logic) usualOthers(s *server) float64 {
+	if s.reportAt == 0 {
+		return l.crowd
+	}
+	return l.crowd + (s.othersAvg-l.crowd)*math.Exp(-(l.now-s.reportAt)/(crowdMemory*l.unit))
+}
