--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -139,7 +139,7 @@
 	} {
 		base, other, count := settings(), settings(), &counters.Watch{}
 		change(&base, &other)
-		play(New(newModule(t, base), &other, slog.Default(), count), 3000)
+		play(New(newModule(t, base), &other, slog.Default(), count), 6000) // enough for the rarest kind to come up
 		if count.Differ.Get(kind) == 0 {
 			all, _ := count.Differ.MarshalJSON()
 			t.Errorf("%s never counted, only %s", kind, all)
