Learn cold servers' speed from all of them, and price new connections when servers are drawn

Ruled out: exclusions (a handful), connections refused (14 to 33 of 8,000 in five seconds), cold budgets (not seen to bind where counted), discovery (changes reached all nodes in time). Cause: logic.go feelUnit took typicalUnit for a server not seen, whatever its age, and held what was seen while cold against it when warm; pick knew nothing of connections; settings did not read prices.handshake.

Change: one speed for cold servers between what they must have by now and all, moved by each answer of one; records are kept as if warm; what is not known to be at a slow server is scaled by its speed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,7 +111,7 @@
 	n.roster = roster.New(n.catalog, lateNews{n})
 	n.pool = upstream.New(upstream.Options{Addresses: n.roster, Connect: clock.Span(connect(set)),
 		Idle: clock.Span(c.Settings.ConnIdle), Probe: probeTime, Most: each, Each: max(4, int(float64(each)*eachShare)), Spare: spare(set.Nodes),
-		Reports: set.Reports, Waiting: c.Settings.WaitingAt >= 0, Log: log, Count: count})
+		Gone: func(id logic.ServerID) { n.engine.Tell(logic.Disconnected{Server: id}) }, Reports: set.Reports, Waiting: c.Settings.WaitingAt >= 0, Log: log, Count: count})
 	n.back = back.New(back.Options{Addresses: n.roster, NStart: nstart, Again: clock.Span(set.DrainGrace / 2),
 		ParseLoad: n.pool.Load, Log: log, Count: &count.CoapBack})
 	n.watch = watch.New(module, c.Watch, log, &count.Watch)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,7 @@
 	OverShare float64 `json:"over_share_worth"`
 	Prices    struct {
 		CrossZone float64 `json:"cross_zone"`
+		Handshake float64 `json:"handshake"`
 		LateFail  float64 `json:"late_fail"`
 		Peer      float64 `json:"peer"`
 		Probe     float64 `json:"probe"`
@@ -162,7 +163,7 @@
 		MaxAttempts: *o.Limits.Attempts, MayCancel: o.Limits.MayCancel, MayProbe: o.Limits.Probes,
 		SecondCopies: o.Limits.SecondCopies, RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfter,
 		ConnectTimeout: o.Limits.ConnectMs, Tick: o.TickMs, LateFailPrice: o.Prices.LateFail,
-		CrossZonePrice: o.Prices.CrossZone, ProbePrice: o.Prices.Probe, PeerPrice: o.Prices.Peer, Peers: o.Limits.Peers,
+		CrossZonePrice: o.Prices.CrossZone, ProbePrice: o.Prices.Probe, PeerPrice: o.Prices.Peer, HandshakePrice: o.Prices.Handshake, Peers: o.Limits.Peers,
 		WarmKeys: o.Family.WarmKeys, CPUPerRequest: o.Limits.CPUPerRequest,
 	}
 	for _, c := range o.Classes {
@@ -244,7 +245,7 @@
 				fmt.Sprintf("classes[%s].late_share: %v is not a share from 0 to 1", c.Name, c.LateShare)})
 		}
 	}
-	for _, k := range []figure{{"prices.cross_zone", o.Prices.CrossZone}, {"prices.peer", o.Prices.Peer},
+	for _, k := range []figure{{"prices.cross_zone", o.Prices.CrossZone}, {"prices.handshake", o.Prices.Handshake}, {"prices.peer", o.Prices.Peer},
 		{"prices.probe", o.Prices.Probe}, {"policy_limits.cpu_us_per_request", o.Limits.CPUPerRequest}} {
 		if k.value < 0 {
 			fault(k.key, "%v is under 0", k.value)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,8 +54,8 @@
 func TestNewKeysAreReadAndChecked(t *testing.T) {
 	with := func(old, new string) (Settings, error) { return Parse([]byte(strings.Replace(good, old, new, 1))) }
 	s, err := with(`"goal":{"whole":1}`, `"goal":{"whole":1,"log_loss_part":0.2,"nines_wanted":2},
- "family_info":{"warm_keys":true},"prices":{"cross_zone":0.13,"peer":0.01,"probe":0.008}`)
-	if l := s.Logic; err != nil || l.Goal.Nines != 0.2 || !l.WarmKeys || l.CrossZonePrice != 0.13 || l.PeerPrice != 0.01 ||
+ "family_info":{"warm_keys":true},"prices":{"cross_zone":0.13,"handshake":0.02,"peer":0.01,"probe":0.008}`)
+	if l := s.Logic; err != nil || l.Goal.Nines != 0.2 || !l.WarmKeys || l.CrossZonePrice != 0.13 || l.HandshakePrice != 0.02 || l.PeerPrice != 0.01 ||
 		l.ProbePrice != 0.008 || l.ProbedOnly || l.Peers || l.CPUPerRequest != 0 {
 		t.Errorf("read %+v, %v", l, err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,14 +28,15 @@
 // Options are what a pool works with.
 type Options struct {
 	Addresses Addresses
-	Connect   time.Duration // the settings' limit for a connection to come up
-	Idle      time.Duration // the settings' idle time; 0: none stated
-	Probe     time.Duration // a probe's time
-	Most      int           // connections in all
-	Each      int           // connections to one server
-	Spare     int           // of these, idle ones; 0: as many as there are
-	Reports   bool          // servers report their load
-	Waiting   bool          // ... with the requests that wait
+	Connect   time.Duration        // the settings' limit for a connection to come up
+	Idle      time.Duration        // the settings' idle time; 0: none stated
+	Probe     time.Duration        // a probe's time
+	Most      int                  // connections in all
+	Each      int                  // connections to one server
+	Spare     int                  // of these, idle ones; 0: as many as there are
+	Reports   bool                 // servers report their load
+	Waiting   bool                 // ... with the requests that wait
+	Gone      func(logic.ServerID) // an idle connection to it is no more; called from any goroutine, may wait. Nil: nobody asks
 	Log       *slog.Logger
 	Count     *counters.Counters
 }
@@ -77,18 +78,18 @@
 	if !ok {
 		return nil, errAddress
 	}
-	for {
+	for end := p.end; ; end = p.drop { // the first one counts as taken by whoever asked
 		c := p.pop(id)
 		if c == nil {
 			return p.dial(ctx, id, addr)
 		}
 		switch {
 		case c.addr != addr:
-			p.end(c, endGone, nil)
+			end(c, endGone, nil)
 		case p.stale(c): // the janitor may not have come by yet, and the server may be closing it right now
-			p.end(c, endIdle, nil)
+			end(c, endIdle, nil)
 		case !c.quiet():
-			p.end(c, endPeerClosed, nil)
+			end(c, endPeerClosed, nil)
 		default:
 			p.o.Count.Servers.Reused.Inc()
 			return c, nil
@@ -127,14 +128,14 @@
 	p.idle[c.id] = append(p.idle[c.id], c)
 	if list := p.idle[c.id]; p.o.Spare > 0 && len(list) > p.o.Spare { // a server holds only so many, of all nodes together
 		p.idle[c.id] = append([]*conn(nil), list[1:]...)
-		go p.end(list[0], endSpare, nil) // it takes the lock
+		go p.drop(list[0], endSpare, nil) // it takes the lock
 		return
 	}
 	if p.total <= p.o.Most/p.parts {
 		return
 	}
 	if victim := p.longestIdle(); victim != nil { // there is another process now
-		go p.end(victim, endEvicted, nil)
+		go p.drop(victim, endEvicted, nil)
 	}
 }
 
@@ -156,7 +157,7 @@
 	p.total++
 	p.mu.Unlock()
 	if victim != nil {
-		p.end(victim, endEvicted, nil)
+		p.drop(victim, endEvicted, nil)
 	}
 	return true
 }
@@ -221,6 +222,14 @@
 	p.logEnd(c, reason, err)
 }
 
+// drop ends a connection that was taken to stand open for the next request.
+func (p *Pool) drop(c *conn, reason string, err error) {
+	p.end(c, reason, err)
+	if p.o.Gone != nil {
+		p.o.Gone(c.id)
+	}
+}
+
 func (p *Pool) logEnd(c *conn, reason string, err error) {
 	p.o.Count.ServerEnds.Inc(reason)
 	args := []any{"code", reason, "server", string(c.id), "addr", c.addr, "requests", c.requests,
@@ -279,6 +288,6 @@
 	}
 	p.mu.Unlock()
 	for c, reason := range ended {
-		p.end(c, reason, nil)
+		p.drop(c, reason, nil)
 	}
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -67,6 +67,10 @@
 		p.put(c)
 		return
 	}
+	if reason == endAsked { // its answer was whole
+		p.drop(c, reason, err)
+		return
+	}
 	p.end(c, reason, err)
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -366,3 +366,35 @@
 		p.sweep(true)
 	}
 }
+
+// Guards against a module that takes connections to stand open which are closed, and pays for new ones unawares. The one
+// that a request takes is told by the request's end, so a stale one met on the way is told only beside it.
+func TestThePoolTellsOfConnectionsThatAreGone(t *testing.T) {
+	addr, _ := listener(t)
+	p, _ := testPool(addresses{"s1": addr, "s2": addr}, 8, 8)
+	gone := map[logic.ServerID]int{}
+	p.o.Gone = func(id logic.ServerID) { gone[id]++ }
+	one, two, three := mustGet(t, p, "s1"), mustGet(t, p, "s1"), mustGet(t, p, "s1")
+	for _, c := range []*conn{one, two, three} {
+		p.put(c)
+		c.idleSince = time.Now().Add(-50 * time.Second)
+	}
+	p.end(mustGet(t, p, "s1"), endExit, nil)
+	if gone["s1"] != 2 {
+		t.Errorf("told of %d connections beside the one taken, want 2", gone["s1"])
+	}
+	c := mustGet(t, p, "s2")
+	p.put(c)
+	if p.sweep(false); gone["s2"] != 0 {
+		t.Errorf("told of %d while the connection stands", gone["s2"])
+	}
+	c.idleSince = time.Now().Add(-50 * time.Second)
+	if p.sweep(false); gone["s2"] != 1 {
+		t.Errorf("told of %d swept away, want 1", gone["s2"])
+	}
+	p.finish(mustGet(t, p, "s2"), endAsked, nil)
+	p.finish(mustGet(t, p, "s2"), endReset, nil)
+	if gone["s2"] != 2 {
+		t.Errorf("told of %d, want one more: answered whole and closed", gone["s2"])
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -90,6 +90,7 @@
 	LateFailPrice  float64 // price of worth that ends unserved after its aim
 	CrossZonePrice float64 // each first try crossing zones once, as a share of all worth; so those below
 	ProbePrice     float64 // one probe a first try
+	HandshakePrice float64 // one new connection to a server a first try
 	PeerPrice      float64 // one full message received a first try
 	CPUPerRequest  float64 // microseconds that a request and all that comes with it may cost; 0: not limited
 }
@@ -198,6 +199,10 @@
 	Load    Load
 }
 
+// Disconnected says that an idle connection to a server is no more, closed by either side. Those that an attempt or a
+// probe ends are not told: none is left by one without an answer.
+type Disconnected struct{ Server ServerID }
+
 // TimerFired is a timer set earlier that has come due.
 type TimerFired struct{ Token string }
 
@@ -213,15 +218,16 @@
 	Body []byte
 }
 
-func (Arrival) event()    {}
-func (Told) event()       {}
-func (Uploaded) event()   {}
-func (AttemptEnd) event() {}
-func (FirstByte) event()  {}
-func (Dropped) event()    {}
-func (ProbeEnd) event()   {}
-func (TimerFired) event() {}
-func (ServerList) event() {}
+func (Arrival) event()      {}
+func (Told) event()         {}
+func (Uploaded) event()     {}
+func (AttemptEnd) event()   {}
+func (FirstByte) event()    {}
+func (Dropped) event()      {}
+func (ProbeEnd) event()     {}
+func (TimerFired) event()   {}
+func (Disconnected) event() {}
+func (ServerList) event()   {}
 
 // Action is something the node is to do.
 type Action interface{ action() }
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -1,6 +1,9 @@
 package logic
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // fleet are settings of one of hundreds of nodes, with probes at a price.
 func fleet(probe float64) Settings {
@@ -153,3 +156,111 @@
 		t.Errorf("still shunned with %v after some seconds without news", f)
 	}
 }
+
+// Guards against learning anew at each cold server that it is slow: 80 nodes sent each of 36 replaced servers a first
+// request at the fleet's speed, and up to 57% of those came late (join+vast). What a few showed holds for the rest, and
+// what was seen of one while it was cold does not hold it down once it is warm.
+func TestTheSpeedOfColdServersIsLearntFromAllOfThem(t *testing.T) {
+	for _, speed := range []float64{0.35, 0.8} {
+		entries := server3(4)
+		b := newBed(t, fleet(0.1), entries...)
+		entries[2].Started, entries[3].Started = b.now, b.now
+		b.step(ServerList{Form: ListDelta, Entries: entries[2:]})
+		met, unseen := b.l.servers["s2"], b.l.servers["s3"]
+		b.l.unit = 20
+		for i := range 100 { // half of them wait for what else is there
+			took := b.l.unit / speed * []float64{0.7, 1.3}[i%2]
+			a := attempt{server: met, sentAt: b.now, turns: 1}
+			b.l.observe(met, &request{class: b.l.classes["read"], cost: 1}, &a, OK, took)
+		}
+		if got := b.l.speed(unseen); math.Abs(got-speed) > 0.15 {
+			t.Errorf("a cold server never met is taken to have %.2f of its capacity, another showed %v", got, speed)
+		}
+		if now := b.l.feelUnit(unseen); now < b.l.unit/(speed+0.15) {
+			t.Errorf("a cold server never met is taken to need %.1f ms, a warm one needs %.1f", now, b.l.unit)
+		}
+		b.now += b.l.set.ColdFor
+		met.outcomeAt = b.now // not by fading
+		b.step(TimerFired{"sweep"})
+		if felt := b.l.feelUnit(met); felt > 1.6*b.l.unit || felt < b.l.unit/1.6 {
+			t.Errorf("warm by now it is taken to need %.1f ms, the fleet %.1f", felt, b.l.unit)
+		}
+	}
+}
+
+// Guards against taking a slow server of which nothing is known to hold as much as the others: nodes that price its
+// slowness send it as much less, and refused 15 to 21% while it stood half idle (join+vast).
+func TestSlowServersAreTakenToHoldLess(t *testing.T) {
+	entries := server3(2)
+	b := newBed(t, fleet(0.1), entries...)
+	entries[1].Started = b.now
+	b.step(ServerList{Form: ListDelta, Entries: entries[1:]})
+	b.l.crowd = 3
+	warm, cold := b.l.servers["s0"], b.l.servers["s1"]
+	if w, c := b.l.countHands(warm), b.l.countHands(cold); c > 0.9*w || c <= 0 {
+		t.Errorf("%.2f requests at a cold server, %.2f at a warm one", c, w)
+	}
+	b.l.report(cold, Load{Valid: true, InFlight: 3 * b.l.speed(cold)})
+	if math.Abs(b.l.crowd-3) > 1e-9 {
+		t.Errorf("a cold server with its part in hand moves the fleet's mean from 3 to %v", b.l.crowd)
+	}
+}
+
+// Guards against a new connection for every fourth request where each of many nodes goes to any server: servers close
+// what stands idle for seconds, and a handshake may cost a twelfth of a request.
+func TestOpenConnectionsComeFirstWhereHandshakesArePriced(t *testing.T) {
+	play := func(price float64, closing func(i int) bool) (dialed int) {
+		set := fleet(0.1)
+		set.HandshakePrice = price
+		b := newBed(t, set, server3(40)...)
+		open := map[ServerID]int{}
+		for i := range 200 {
+			b.now += 50
+			id, acts := b.arrive("read", 2000)
+			s := sentTo(acts)
+			if open[s]--; open[s] < 0 {
+				open[s] = 0
+				dialed++
+			}
+			b.now += 10
+			b.end(id, 0, s, OK, 10)
+			if open[s]++; closing(i) {
+				open[s]--
+				b.step(Disconnected{Server: s})
+			}
+		}
+		return dialed
+	}
+	never := func(int) bool { return false }
+	if free, dear := play(0, never), play(0.1, never); free < 30 || dear > free/2 {
+		t.Errorf("%d connections at no price, %d at a price", free, dear)
+	}
+	if n := play(0.1, func(int) bool { return true }); n < 190 {
+		t.Errorf("%d connections opened where each is closed at once: the node was not told", n)
+	}
+	if free, dear := play(0, never), play(0.001, never); dear < free/2 {
+		t.Errorf("%d connections at next to no price, %d at none", dear, free)
+	}
+}
+
+// Guards against counting a connection twice or below none: a probe and an attempt take one, an answer gives one back,
+// and what broke or was withdrawn gives none.
+func TestConnectionsAreCounted(t *testing.T) {
+	b := newBed(t, fleet(0.1), server3(1)...)
+	s := b.l.servers["s0"]
+	for _, step := range []struct {
+		result Result
+		want   int
+	}{{OK, 1}, {Errored, 2}, {Overloaded, 3}, {Broken, 3}, {TimedOut, 3}, {Unreachable, 3}, {Cancelled, 3}, {Void, 3}} {
+		if s.connection(step.result); s.idle != step.want {
+			t.Errorf("%d connections idle after result %v, want %d", s.idle, step.result, step.want)
+		}
+	}
+	for range 5 {
+		b.step(Disconnected{Server: "s0"})
+	}
+	b.step(Disconnected{Server: "unheard of"})
+	if s.idle != 0 {
+		t.Errorf("%d connections idle after all were closed", s.idle)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,6 +50,7 @@
 	probeWidth   = 6     // servers asked for their load before a send: one in a busy fleet is likely idle
 	probeWait    = 4.0   // several round trips in one site, and still little of any aim
 	probeSpend   = 0.012 // of all worth: what probes may cost, since more of them earn less and less
+	warmthGain   = 0.05  // some ten answers of cold servers tell how fast these are
 	widthGain    = 0.05  // some twenty reports of queues make the width
 	probeEase    = 0.05  // servers that turn probes away are asked less often by so much, and slowly more again
 	crowdGain    = 0.05  // some twenty reports make the fleet's mean load
@@ -98,8 +99,8 @@
 		servers: map[ServerID]*server{}, classes: map[string]*classState{}, tenants: map[string]*tenantState{},
 		requests: map[RequestID]*request{}, retries: tokens{left: retryBurst}, askDelay: askFirstWait,
 		said: map[speaker][]*server{}, heardFrom: map[int]Millis{}, refused: map[subject]comingBack{},
-		width: 1, ease: 1, pace: 1, probes: tokens{left: probeWidth}, trialBy: Unsafe, lateAt: math.Inf(1),
-		zones: map[string]*classHealth{}}
+		width: 1, ease: 1, pace: 1, warmth: 0.5, probes: tokens{left: probeWidth}, trialBy: Unsafe,
+		lateAt: math.Inf(1), zones: map[string]*classHealth{}}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
 		l.classes[c.Name] = &classState{Class: c, index: i}
@@ -133,6 +134,10 @@
 		l.probeEnd(e)
 	case TimerFired:
 		l.timer(e.Token)
+	case Disconnected:
+		if s := l.servers[e.Server]; s != nil {
+			s.idle = max(0, s.idle-1)
+		}
 	case ServerList:
 		l.serverList(e)
 	case Told:
@@ -274,7 +279,7 @@
 	best := math.Inf(1)
 	for _, s := range l.list {
 		if s.seen && l.now < s.outcomeAt+staleAfter+staleDecay { // those shunned would hold the typical up
-			u := s.unit * l.pace * l.ramp(s)
+			u := s.unit * l.pace
 			if l.set.Sized && s.Size > 0 {
 				u *= s.Size
 			}
@@ -307,7 +312,7 @@
 	if !s.seen {
 		unit = l.typicalUnit(s) // not the guess of its first moment
 	}
-	return max(1e-3, herdFloor*l.typicalUnit(s), unit, l.overdue(s, true))
+	return max(1e-3, max(herdFloor*l.typicalUnit(s), unit)/l.speed(s), l.overdue(s, true))
 }
 
 // observe books an attempt's outcome to its server's health.
@@ -332,8 +337,9 @@
 		gain = 1 // the first outcome replaces the guess
 	}
 	s.latency += gain * (felt - s.latency)
-	unit := elapsed / a.turns
-	if good && s.seen { // what slows all down shows in all answers, long before each server's own record
+	// What slows all down shows in all answers, long before each server's own record.
+	unit := l.warmed(s, elapsed/a.turns, good)
+	if good && s.seen {
 		l.pace += paceGain*(min(paceMost, max(1/paceMost, unit/max(1e-3, s.unit)))-l.pace) + paceRest*(1-l.pace)
 	}
 	unit /= l.pace
@@ -456,21 +462,6 @@
 
 // ---- load: what a server has in hand and how long a send would take
 
-func (l *Logic) report(s *server, load Load) {
-	if !load.Valid {
-		return
-	}
-	l.findLost(s, load)
-	s.lookedAt = -1
-	if load.Queued && load.Waiting >= 1 { // all that it works on at once, for once
-		l.width += widthGain * (max(1, load.InFlight-load.Waiting) - l.width)
-	}
-	s.others = max(0, load.InFlight-float64(s.inflight-s.lost-s.ahead))
-	s.othersAvg = l.usualOthers(s) + 0.2*(s.others-l.usualOthers(s))
-	s.reportAt = l.now
-	l.crowd += crowdGain * (s.others - l.crowd)
-}
-
 // findLost marks the attempts out at a server that its report does not hold, oldest first, of those that
 // an answer to a later send has passed or that take far longer than expected. They are no load, and their
 // silence says nothing of its speed. One that may be repeated is sent elsewhere while it is in time, at no
@@ -540,6 +531,7 @@
 		return
 	}
 	s.probeOut = false
+	s.connection(e.Result)
 	l.ease = min(1, l.ease+probeEase/10)
 	switch e.Result {
 	case OK:
@@ -668,10 +660,11 @@
 		if i < 2 && first != nil {
 			s = []*server{first, second}[i]
 		}
-		if s == nil || s.probeOut || l.now-s.reportAt < reportFresh || !l.probes.take() {
+		dear := s != nil && s.idle < 1 && l.set.HandshakePrice > l.set.ProbePrice/2 // it costs a connection as well
+		if s == nil || dear || s.probeOut || l.now-s.reportAt < reportFresh || !l.probes.take() {
 			continue
 		}
-		s.probeOut = true
+		s.probeOut, s.idle = true, max(0, s.idle-1)
 		l.do(Probe{s.ID})
 		asked++
 	}
@@ -842,7 +835,7 @@
 	}
 	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
 	fit := open[:0]
-	crossing := l.set.CrossZonePrice * r.class.Aim * l.meanWorth / max(1e-3, r.class.Worth)
+	whole := r.class.Aim * l.meanWorth / max(1e-3, r.class.Worth) // a request's worth as time
 	for _, s := range open {
 		cost := r.cost
 		if s == first || s == second {
@@ -853,7 +846,10 @@
 			!r.late && l.occupancy(s) < idle && s.expect <= risk {
 			s.price = s.expect + (s.bad+l.zoneFault(s))*r.class.Aim
 			if s.Zone != l.set.Zone {
-				s.price += crossing
+				s.price += l.set.CrossZonePrice * whole
+			}
+			if s.idle < 1 {
+				s.price += l.set.HandshakePrice * whole
 			}
 			if l.classFault(s, r.class) {
 				s.price += l.classBad(s, r.class) * r.class.Aim
@@ -916,7 +912,7 @@
 		expected: l.expected(s, r), open: true}
 	r.attempts = append(r.attempts, a)
 	r.held, r.open = false, r.open+1
-	s.inflight++
+	s.inflight, s.idle = s.inflight+1, max(0, s.idle-1)
 	s.lookedAt = -1
 	s.open = append(s.open, r)
 	l.outstanding++
@@ -936,6 +932,7 @@
 	r.open--
 	l.outstanding--
 	s.inflight--
+	s.connection(e.Result)
 	s.lookedAt = -1
 	if a.lost {
 		s.lost--
--- a/logic/state.go
+++ b/logic/state.go
@@ -48,6 +48,7 @@
 	probeTook      Millis  // usual time of a probe
 	missedAt       Millis  // when the last request found no place ...
 	misses         int     // how many did then
+	warmth         float64 // of what cold servers may still lack, the share that they are seen to have
 	pace           float64 // the fleet's times against the servers' own records
 	refused        map[subject]comingBack
 	meanWorth      float64 // over the classes
@@ -185,6 +186,7 @@
 	score         float64
 	classes       []classHealth // by the class's index
 	inflight      int
+	idle          int        // connections that stand open, and carry nothing
 	expect, price Millis     // of the request being placed
 	open          []*request // with an attempt out here, oldest first
 	others        float64    // requests of other nodes, by the latest report
@@ -480,6 +482,51 @@
 	return min(1, l.set.ColdFrom+(1-l.set.ColdFrom)*age/l.set.ColdFor)
 }
 
+// speed is the share of its capacity that a server is taken to have: what it must have by now at the least, and of the
+// rest as much as other cold servers show. Nodes that each met every cold server at the fleet's speed sent it a first
+// request that came late, fifty nodes each to each.
+func (l *Logic) speed(s *server) float64 {
+	least := l.ramp(s)
+	return least + l.warmth*(1-least)
+}
+
+// warmed is the time that a cold server would have taken once it is warm. Each answer of one tells which way the speed of
+// all is off; by how much it hardly can, since what else the server held is not known.
+func (l *Logic) warmed(s *server, unit Millis, good bool) Millis {
+	speed := l.speed(s)
+	if speed < 1 && good {
+		step := warmthGain
+		if unit*speed > l.typicalUnit(s)*l.pace {
+			step = -warmthGain
+		}
+		l.warmth = min(1, max(0, l.warmth+step))
+	}
+	return unit * speed
+}
+
+// report books what a server reports of its load.
+func (l *Logic) report(s *server, load Load) {
+	if !load.Valid {
+		return
+	}
+	l.findLost(s, load)
+	s.lookedAt = -1
+	if load.Queued && load.Waiting >= 1 { // all that it works on at once, for once
+		l.width += widthGain * (max(1, load.InFlight-load.Waiting) - l.width)
+	}
+	s.others = max(0, load.InFlight-float64(s.inflight-s.lost-s.ahead))
+	s.othersAvg = l.usualOthers(s) + 0.2*(s.others-l.usualOthers(s))
+	s.reportAt = l.now
+	l.crowd += crowdGain * (s.others/l.speed(s) - l.crowd)
+}
+
+// connection books what an attempt or a probe left of its connection: one is kept after an answer.
+func (s *server) connection(result Result) {
+	if result == OK || result == Errored || result == Overloaded {
+		s.idle++
+	}
+}
+
 // classBad is a class's failure share at a server, forgotten slowly. It is priced as time when servers are
 // compared: a server may fail or lose one class and serve the others well.
 func (l *Logic) classBad(s *server, c *classState) float64 {
@@ -666,8 +713,9 @@
 // usualOthers is what the other nodes usually have at a server: its own mean, or the fleet's where its last
 // report is old. A node that hears of a server once a minute must not take silence for an empty server.
 func (l *Logic) usualOthers(s *server) float64 {
+	usual := l.crowd * l.speed(s) // all nodes send a slow one as much less
 	if s.reportAt == 0 {
-		return l.crowd
+		return usual
 	}
-	return l.crowd + (s.othersAvg-l.crowd)*math.Exp(-(l.now-s.reportAt)/(crowdMemory*l.unit))
+	return usual + (s.othersAvg-usual)*math.Exp(-(l.now-s.reportAt)/(crowdMemory*l.unit))
 }
