Come back to discovery later the more nodes there are, so that a herd is not kept uninformed

Each call to discovery was logged and counted over the fleet: at 14.2 s 56 nodes come back at once; 33 lists are written by 16.5 s and none from then to 20 s, while 117 calls are turned away. 46 of the 56, and some of the 24 that lived on, knew none of 42 new servers and sent to those that were gone; 71 nodes said that their list was late. Cause: logic.go listFailed came back after 0.1 to 0.3 s whatever the number of nodes; discovery spends as much on a call that it turns away.

Change: the first pause is 25 ms for each other node (2 s for 80), as the catalog's is where it need not be asked; 5 s at most as before.

The test plays 1 to 1,000 modules beside a discovery with room for few: 80 were all informed after 18.7 s with 296 calls, now after 9.6 s with 125.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -264,3 +266,91 @@
 		t.Errorf("%d connections idle after all were closed", s.idle)
 	}
 }
+
+// discoveryModel takes calls in turn at so many a second. One that would wait longer than two seconds is turned away: at
+// that time, or at once where twice as many wait. What it is asked it works on all the same, as was seen.
+type discoveryModel struct {
+	each Millis // for one call
+	busy Millis // until then
+	away int
+}
+
+// call tells when the answer comes and whether it is the list.
+func (d *discoveryModel) call(now Millis) (at Millis, ok bool) {
+	const patience = 2000
+	d.busy = max(d.busy, now) + d.each
+	switch wait := d.busy - now; {
+	case wait <= patience:
+		return d.busy, true
+	case wait > 2*patience:
+		d.busy -= d.each // not even looked at
+		d.away++
+		return now + 1, false
+	}
+	d.away++
+	return now + patience, false
+}
+
+// Guards against nodes that, restarted together, keep discovery full by coming back at once when it turns them away: 46 of
+// 56 knew nothing of 42 replaced servers eight seconds after their start, and 24% was refused (herd+vast).
+func TestRestartedNodesAreInformedByAnOverbookedDiscovery(t *testing.T) {
+	for _, size := range []struct {
+		nodes  int
+		within Millis // until nine in ten know the list
+		calls  float64
+	}{{1, 1000, 1}, {8, 1500, 1.5}, {80, 10000, 2}, {300, 13000, 1.5}, {1000, 6000, 1.5}} {
+		d := &discoveryModel{each: 5000 / float64(max(50, size.nodes))} // a call from every node in 5 s: it grows with them
+		set := settings()
+		set.Nodes, set.Subscribe = size.nodes, true
+		type wake struct {
+			at   Millis
+			node int
+			what Event
+		}
+		var queue []wake
+		push := func(w wake) {
+			i, _ := slices.BinarySearchFunc(queue, w.at, func(q wake, at Millis) int { return int(math.Copysign(1, q.at-at)) })
+			queue = slices.Insert(queue, i, w)
+		}
+		nodes, calls := make([]*Logic, size.nodes), 0
+		for i := range nodes {
+			set.Node = i
+			l, err := New(set, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			nodes[i] = l
+			push(wake{rand.New(rand.NewPCG(uint64(i), 1)).Float64(), i, ServerList{Form: ListCached, Entries: server3(4)}})
+		}
+		var informed []Millis
+		for now := 0.0; len(queue) > 0 && len(informed) < size.nodes && now < 3*size.within; {
+			w := queue[0]
+			queue = queue[1:]
+			now = w.at
+			if l, ok := w.what.(ServerList); ok && l.Form == ListFull {
+				informed = append(informed, now)
+			}
+			for _, a := range nodes[w.node].Step(now, w.what) {
+				switch a := a.(type) {
+				case SetTimer:
+					push(wake{a.At, w.node, TimerFired{a.Token}})
+				case Watch:
+					calls++
+					at, ok := d.call(now)
+					form := ListFailed
+					if ok {
+						form = ListFull
+					}
+					push(wake{at, w.node, ServerList{Form: form, Entries: server3(4)}})
+				}
+			}
+		}
+		most := (9*size.nodes + 9) / 10
+		if len(informed) < most || informed[most-1] > size.within {
+			t.Errorf("%d nodes: %d informed, turned away %d times; nine in ten are to be by %v ms", size.nodes, len(informed), d.away, size.within)
+		}
+		if each := float64(calls) / float64(size.nodes); each > size.calls {
+			t.Errorf("%d nodes: %.1f calls each, %v at most", size.nodes, each, size.calls)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,6 +84,7 @@
 	coldBurst    = 0.25    // of a window's budget at once; the rest is spread within it
 	askFirstWait = 200.0   // a first failure may be chance
 	askSpread    = 10.0    // for each other node: a hundred first calls a second in all
+	askEach      = 25.0    // for each other node: turned away together, forty calls a second in all
 	askLongest   = 5000.0  // discovery must not be rushed, nor forgotten
 	goalMemory   = 30000.0 // time constant of the served shares per class and tenant
 	rateMemory   = 3000.0  // time constant of the tenants' rates
@@ -219,7 +220,8 @@
 	l.dispatch()
 }
 
-// listFailed retries with jittered growing pauses: all nodes lose discovery together.
+// listFailed retries with jittered pauses that grow, and are longer the more nodes there are: all lose discovery
+// together, and a call turned away costs it as much. 80 nodes that came back at once kept it full.
 func (l *Logic) listFailed() {
 	l.asking, l.subscribe = false, false
 	if !l.set.Subscribe {
@@ -228,6 +230,7 @@
 	if l.askDelay == askFirstWait { // the first of a row: hundreds of nodes lose it together
 		l.logf("server list: call failed, keeping %d servers, asking again", len(l.list))
 	}
+	l.askDelay = min(askLongest, max(l.askDelay, askEach*float64(l.set.Nodes-1)))
 	l.askAt = l.now + l.askDelay*(0.5+l.rng.Float64())
 	l.askDelay = min(l.askDelay*2, askLongest)
 	l.do(SetTimer{"ask", l.askAt})
