--- a/logic/logic.go
+++ b/logic/logic.go
@@ -220,8 +220,8 @@
 	l.dispatch()
 }
 
-// listFailed retries with jittered pauses that grow, and are longer the more nodes there are: all lose discovery
-// together, and a call turned away costs it as much. 80 nodes that came back at once kept it full.
+// listFailed retries with jittered pauses that grow, and are longer the more nodes there are: all lose
+// discovery together, and a call turned away costs it as much. 80 that came back at once kept it full.
 func (l *Logic) listFailed() {
 	l.asking, l.subscribe = false, false
 	if !l.set.Subscribe {
