Log once when a zone begins to be priced and once when that ends

The test that plays a zone cut off asserts one line over 20 answers in between, and one once it is tried again.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -149,14 +150,30 @@
 	for range 5 {
 		b.l.noteZone(far, TimedOut, 300)
 	}
-	if b.l.zoneFault(far) == 0 || b.l.zoneFault(near) != 0 {
-		t.Fatalf("fault %v there and %v here", b.l.zoneFault(far), b.l.zoneFault(near))
+	if b.l.zoneFault(far.reach) == 0 || b.l.zoneFault(near.reach) != 0 {
+		t.Fatalf("fault %v there and %v here", b.l.zoneFault(far.reach), b.l.zoneFault(near.reach))
+	}
+	for range 20 { // one answer in between is not the end of it
+		b.l.noteZone(far, TimedOut, 300)
+		b.l.runScores()
+		b.l.noteZone(far, OK, 10)
+		b.l.runScores()
+	}
+	if said := b.l.out; count[Log](said) != 1 || !strings.Contains(said[len(said)-1].(Log).Text, "zone cut") {
+		t.Errorf("said of a zone that is cut off: %v, want one line", said)
 	}
 	b.now += 3 * staleDecay
 	b.step(TimerFired{"sweep"})
-	if f := b.l.zoneFault(far); f != 0 {
+	if f := b.l.zoneFault(far.reach); f != 0 {
 		t.Errorf("still shunned with %v after some seconds without news", f)
 	}
+	b.l.out = nil
+	for range 5 {
+		b.l.runScores()
+	}
+	if n := count[Log](b.l.out); n != 1 {
+		t.Errorf("%d lines once it is tried again, want one", n)
+	}
 }
 
 // Guards against learning anew at each cold server that it is slow: 80 nodes sent each of 36 replaced servers a first
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -124,7 +124,7 @@
 		}
 		for name, bad := range r.Bad {
 			if c := l.classes[name]; c != nil {
-				*s.class(c) = classHealth{bad, true, r.BadAt[name]}
+				*s.class(c) = classHealth{bad: bad, tried: true, at: r.BadAt[name]}
 			}
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -278,6 +278,7 @@
 // runScores scores each ready server from 0 to 1 and renews the typical unit time.
 func (l *Logic) runScores() {
 	l.scoredAt = l.now
+	l.tellZones()
 	var units []float64
 	best := math.Inf(1)
 	for _, s := range l.list {
@@ -387,11 +388,11 @@
 
 // zoneFault is a zone's share of sends with nothing back, 0 but where another zone answers: it is lost or cut
 // off from here. A node that meets each server once in seconds would else wait for every one there in turn.
-func (l *Logic) zoneFault(s *server) float64 {
-	if s.reach.bad < zoneSilent {
+func (l *Logic) zoneFault(zone *classHealth) float64 {
+	if zone.bad < zoneSilent {
 		return 0
 	}
-	bad := l.zoneBad(s.reach)
+	bad := l.zoneBad(zone)
 	for _, h := range l.zones {
 		if bad >= zoneSilent/2 && h.tried && l.zoneBad(h) < bad/3 {
 			return bad
@@ -847,7 +848,7 @@
 		s.expect = l.feltUnit(s) * l.turns(l.occupancy(s), cost)
 		if l.occupancy(s) < most && s.expect <= limit+s.doubt*blind ||
 			!r.late && l.occupancy(s) < idle && s.expect <= risk {
-			s.price = s.expect + (s.bad+l.zoneFault(s))*r.class.Aim
+			s.price = s.expect + (s.bad+l.zoneFault(s.reach))*r.class.Aim
 			if s.Zone != l.set.Zone {
 				s.price += l.set.CrossZonePrice * whole
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -325,6 +326,7 @@
 type classHealth struct {
 	bad   float64 // smoothed failure share
 	tried bool
+	told  bool // the log says that it is priced; of a zone
 	at    Millis
 }
 
@@ -690,6 +692,21 @@
 	return l.zones[name]
 }
 
+// tellZones logs once when a zone begins to be priced, and once when nearly all of it comes back: a share of silence in
+// between says neither.
+func (l *Logic) tellZones() {
+	for _, name := range slices.Sorted(maps.Keys(l.zones)) {
+		switch h := l.zones[name]; {
+		case !h.told && l.zoneFault(h) > 0:
+			h.told = true
+			l.logf("zone %s: %.0f%% of the sends there bring nothing back and another zone answers, preferring that", name, 100*l.zoneBad(h))
+		case h.told && l.zoneBad(h) < classGood:
+			h.told = false
+			l.logf("zone %s: as good as the others again, or not tried for long", name)
+		}
+	}
+}
+
 // zoneBad is the share of sends to a zone on which nothing came back, forgotten as fast as a shunned server's record.
 func (l *Logic) zoneBad(h *classHealth) float64 {
 	return h.bad * math.Exp(-(l.now-h.at)/staleDecay)
