Rename internal/membership to listmerge, so that membership means nodes

Need: the package merges lists of servers from several sources; the operators' list begins with membership among the nodes, and one word for both would mislead.

--- a/internal/membership/merge.go
+++ b/internal/listmerge/merge.go
@@ -1,4 +1,4 @@
-package membership
+package listmerge
 
 import (
 	"sort"
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"tackhub.example/tackhub/internal/catalog"
-	"tackhub.example/tackhub/internal/membership"
+	"tackhub.example/tackhub/internal/listmerge"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -90,7 +90,7 @@
 }
 
 // push tells the module what has changed: addresses first, so that it cannot send where none is known.
-func (r *Roster) push(entries []membership.Entry, form logic.ListForm) {
+func (r *Roster) push(entries []listmerge.Entry, form logic.ListForm) {
 	r.mu.Lock()
 	if r.taker == nil {
 		r.mu.Unlock()
