--- a/cmd/tackhub/main.go
+++ b/cmd/tackhub/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 
 	"tackhub.example/tackhub/internal/cli"
+	"tackhub.example/tackhub/internal/cluster"
 	coapclient "tackhub.example/tackhub/internal/coap/client"
 	"tackhub.example/tackhub/internal/node"
 	"tackhub.example/tackhub/internal/roster"
@@ -39,6 +40,7 @@
 				return nil
 			}},
 		roster.Command(),
+		cluster.Command(),
 		coapclient.Command(),
 		{Name: "version", Help: "Print the build", Run: func(_ []string, out io.Writer) error { return version(out) }},
 	}, About: []string{
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,384 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/members"
+	"tackhub.example/tackhub/internal/part"
+)
+
+// Node is what the link needs of its node.
+type Node interface {
+	Name() string
+	Counters() *counters.Counters
+}
+
+const (
+	// ticksEach period the core is called: its own sign of a standstill is a gap of one and a half periods.
+	ticksEach = 5
+
+	// inboxLen bounds the messages that wait for the core. The reader drops beyond it, as the kernel would.
+	inboxLen = 512
+
+	// packetMost is what a datagram may hold, one byte less than the buffer so that a longer one is noticed.
+	packetMost = 1200
+
+	// streamMost is what a full state may hold: 1,024 members of 200 bytes each, the longest that names and addresses allow.
+	streamMost = 256 << 10
+
+	// streams may be open in each direction; streamTime is for the whole of one. Full states are exchanged once in ten
+	// seconds with one member, and with each that has been found again.
+	streams, streamTime = 8, 2 * time.Second
+
+	// againAfter the goodbye is said twice, since the first may be lost.
+	againAfter = 50 * time.Millisecond
+)
+
+// link is the running subsystem.
+type link struct {
+	o      Options
+	name   string
+	core   *members.Core // owned by run
+	udp    *net.UDPConn
+	tcp    *net.TCPListener
+	local  *local // nil without a place for it
+	accept []netip.Prefix
+	to     map[string]netip.AddrPort // addresses as seen from here
+	log    *slog.Logger
+	count  *counters.Cluster
+	base   time.Time
+
+	inbox   chan inbound
+	asks    chan func()
+	slots   chan struct{}   // outgoing streams
+	calls   chan struct{}   // incoming ones
+	running context.Context // while it runs, for what I/O it begins
+	stop    context.CancelFunc
+	ending  sync.WaitGroup
+	logged  sync.Map // reasons of drops that the log has named
+}
+
+// inbound is a message that waits for the core.
+type inbound struct {
+	m     *members.Message
+	reply chan members.Message // of a full state that came by a stream; nil else
+}
+
+func build(host part.Host, options any, old part.Running) (part.Running, error) {
+	o := *options.(*Options)
+	node, ok := host.Node.(Node)
+	if !ok {
+		return nil, errors.New("the host has no node")
+	}
+	if old != nil {
+		return nil, errors.New("it cannot be changed while it runs: turn it off by one SIGHUP and on by another, or restart the node")
+	}
+	l := &link{o: o, name: o.Name, log: host.Log, count: &node.Counters().Cluster, base: time.Now(), to: map[string]netip.AddrPort{},
+		inbox: make(chan inbound, inboxLen), asks: make(chan func()), slots: make(chan struct{}, streams), calls: make(chan struct{}, streams)}
+	if l.name == "" {
+		l.name = node.Name()
+	}
+	if !goodName(l.name) {
+		return nil, fmt.Errorf("name: the node's own, %q, is none for a member; set one", l.name)
+	}
+	for name, a := range o.Addresses {
+		l.to[name] = netip.MustParseAddrPort(a) // checked
+	}
+	for _, n := range o.Accept {
+		l.accept = append(l.accept, netip.MustParsePrefix(n))
+	}
+	if err := l.open(); err != nil {
+		return nil, err
+	}
+	address := o.Advertise
+	if address == "" {
+		address = o.Listen
+	}
+	start := uint64(l.base.UnixMicro()) // a later process has a higher one, unless the clock was set back: then it is told
+	l.core = members.New(members.Options{Name: l.name, Address: address, Cluster: uint32(xxhash.Sum64String(o.Cluster)), Start: start,
+		Seed: xxhash.Sum64String(l.name), Period: o.Period.Std(), Timeout: o.Timeout.Std(), Suspicion: o.Suspicion.Std(), Most: o.Members,
+		Seeds: o.Seeds}, l.now())
+	return l, nil
+}
+
+// open takes the sockets. They are exclusive: a second process of the same member on this machine is refused here.
+func (l *link) open() error {
+	at := netip.MustParseAddrPort(l.o.Listen) // checked
+	var err error
+	if l.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if l.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at)); err != nil {
+		_ = l.udp.Close()
+		return fmt.Errorf("listen: %w", err)
+	}
+	if l.local, err = openLocal(l); err != nil {
+		_ = l.udp.Close()
+		_ = l.tcp.Close()
+		return err
+	}
+	return nil
+}
+
+func (l *link) close() {
+	_ = l.udp.Close()
+	_ = l.tcp.Close()
+	l.local.close()
+}
+
+// now is the core's time. It is monotonic: a step of the machine's clock moves nothing.
+func (l *link) now() time.Duration { return time.Since(l.base) }
+
+// Start sets it going.
+func (l *link) Start(ctx context.Context) {
+	ctx, l.stop = context.WithCancel(ctx)
+	l.running = ctx
+	context.AfterFunc(ctx, func() { // readers return
+		_ = l.tcp.Close()
+		l.local.close()
+	})
+	l.ending.Go(func() { l.run(ctx) })
+	l.ending.Go(func() { l.read(ctx) })
+	l.ending.Go(func() { l.answerStreams(ctx) })
+	l.ending.Go(func() { l.local.run(ctx) })
+	l.log.Info("among the members of a cluster", "code", "cluster", "cluster", l.o.Cluster, "member", l.name, "listen", l.o.Listen,
+		"seeds", l.o.Seeds)
+}
+
+// Stop says goodbye and ends it.
+func (l *link) Stop() {
+	if l.running == nil {
+		l.close()
+		return
+	}
+	l.stop()
+	l.ending.Wait()
+}
+
+// run owns the core.
+func (l *link) run(ctx context.Context) {
+	defer func() { _ = l.udp.Close() }()
+	tick := time.NewTicker(l.o.Period.Std() / ticksEach)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			l.core.Tick(l.now())
+		case in := <-l.inbox:
+			l.hear(in)
+		case ask := <-l.asks:
+			ask()
+		case <-ctx.Done():
+			l.core.Leave(l.now())
+			out := l.carry()
+			time.Sleep(againAfter)
+			for _, s := range out {
+				l.write(s)
+			}
+			return
+		}
+		l.carry()
+	}
+}
+
+// hear hands one message to the core. The answer to a full state goes back on its stream and nowhere else.
+func (l *link) hear(in inbound) {
+	l.core.Receive(l.now(), in.m)
+	if in.reply == nil {
+		return
+	}
+	out, notes := l.core.Take()
+	l.tell(notes)
+	for _, s := range out {
+		if s.Stream && s.Message.Kind == members.FullReply {
+			select {
+			case in.reply <- s.Message:
+			default: // there is one answer to one message
+			}
+			continue
+		}
+		l.dispatch(s)
+	}
+}
+
+// carry does what the core wants done.
+func (l *link) carry() []members.Send {
+	out, notes := l.core.Take()
+	l.tell(notes)
+	for _, s := range out {
+		l.dispatch(s)
+	}
+	return out
+}
+
+func (l *link) dispatch(s members.Send) {
+	if s.Stream {
+		l.stream(s)
+		return
+	}
+	l.write(s)
+}
+
+// warnings are the notes that somebody should look at.
+var warnings = []string{"condition", "standstill", "outdated", "full"}
+
+func (l *link) tell(notes []members.Note) {
+	for _, n := range notes {
+		args := append([]any{"code", "cluster_" + n.Code}, n.Args...)
+		if n.Code == "view" {
+			l.count.Views.Inc()
+			l.count.Members.Set(int64(len(l.core.View().Members)))
+		}
+		if slices.Contains(warnings, n.Code) {
+			l.log.Warn(n.Text, args...)
+			continue
+		}
+		l.log.Info(n.Text, args...)
+	}
+}
+
+// drop counts what is not sent or not taken; the first of each reason is logged.
+func (l *link) drop(reason string) {
+	l.count.Drops.Inc(reason)
+	if _, known := l.logged.LoadOrStore(reason, true); !known {
+		l.log.Warn("a message of the cluster was dropped, further ones are only counted", "code", "cluster_drop", "reason", reason)
+	}
+}
+
+// address is where a message goes.
+func (l *link) address(s members.Send) (netip.AddrPort, bool) {
+	if a, ok := l.to[s.To]; ok && s.To != "" {
+		return a, true
+	}
+	a, err := netip.ParseAddrPort(s.Address)
+	return a, err == nil && a.Port() != 0
+}
+
+func (l *link) write(s members.Send) {
+	to, ok := l.address(s)
+	if !ok {
+		l.drop("address")
+		return
+	}
+	raw, err := s.Message.MarshalMsg(nil)
+	if err != nil || len(raw) > packetMost {
+		l.drop("too_long")
+		return
+	}
+	if _, err := l.udp.WriteToUDPAddrPort(raw, to); err != nil {
+		l.drop("write")
+		return
+	}
+	l.count.Sent.Inc()
+	l.count.SentBytes.Add(int64(len(raw)))
+}
+
+// read takes datagrams in until the socket is closed.
+func (l *link) read(ctx context.Context) {
+	buffer := make([]byte, packetMost+1)
+	second, taken := l.now(), 0
+	for {
+		n, from, err := l.udp.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.drop("read") // such as a member's port that is closed: it concerns one datagram
+			continue
+		}
+		if now := l.now(); now-second >= time.Second {
+			second, taken = now, 0
+		}
+		if taken++; taken > l.o.Rate {
+			l.drop("rate")
+			continue
+		}
+		if n > packetMost {
+			l.drop("too_long")
+			continue
+		}
+		l.count.TakenBytes.Add(int64(n))
+		if m := l.parse(buffer[:n], from.Addr()); m != nil {
+			if m.Kind == members.Full || m.Kind == members.FullReply {
+				l.drop("not_on_a_stream")
+				continue
+			}
+			l.post(ctx, inbound{m: m}, false)
+		}
+	}
+}
+
+// parse reads a message; nil where it is not to be taken.
+func (l *link) parse(raw []byte, from netip.Addr) *members.Message {
+	m := &members.Message{}
+	switch rest, err := m.UnmarshalMsg(raw); {
+	case !l.accepted(from):
+		l.drop("network")
+	case err != nil || len(rest) > 0:
+		l.drop("malformed")
+	case m.Cluster != uint32(xxhash.Sum64String(l.o.Cluster)):
+		l.drop("other_cluster")
+	case m.Least > members.WireVersion:
+		l.drop("version")
+	case m.Kind < members.Ping || m.Kind > members.FullReply:
+		l.drop("kind")
+	case !goodName(m.From) || !sound(m):
+		l.drop("malformed")
+	default:
+		l.count.Taken.Inc()
+		return m
+	}
+	return nil
+}
+
+// sound tells whether the texts of a message are such as a member would send.
+func sound(m *members.Message) bool {
+	for _, i := range m.News {
+		if !goodName(i.Name) || i.By != "" && !goodName(i.By) || !addressForm(i.Address) {
+			return false
+		}
+	}
+	return addressForm(m.Address) && (m.Target == "" || goodName(m.Target))
+}
+
+func addressForm(s string) bool {
+	if s == "" {
+		return true
+	}
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
+
+func (l *link) accepted(from netip.Addr) bool {
+	return len(l.accept) == 0 || slices.ContainsFunc(l.accept, func(p netip.Prefix) bool { return p.Contains(from.Unmap()) })
+}
+
+// post hands a message to the core, or drops it where too many wait; a stream has a place of its own and waits.
+func (l *link) post(ctx context.Context, in inbound, wait bool) bool {
+	if wait {
+		select {
+		case l.inbox <- in:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	select {
+	case l.inbox <- in:
+		return true
+	default:
+		l.drop("inbox_full")
+		return false
+	}
+}
--- /dev/null
+++ b/internal/cluster/command.go
@@ -0,0 +1,145 @@
+package cluster
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"tackhub.example/tackhub/internal/cli"
+	"tackhub.example/tackhub/internal/members"
+)
+
+// watchEvery is how often --watch asks: a view takes a few hundred milliseconds to change.
+const watchEvery = 500 * time.Millisecond
+
+// Command is tackhub members.
+func Command() cli.Command {
+	var name string
+	var asJSON, watch bool
+	return cli.Command{Name: "members", Help: "Show what a running node holds of its cluster, over its local socket in $TMPDIR",
+		Flags: func(f *flag.FlagSet) {
+			f.StringVar(&name, "name", "", "the `MEMBER`, where several run with this $TMPDIR")
+			f.BoolVar(&asJSON, "json", false, "as JSON")
+			f.BoolVar(&watch, "watch", false, "again whenever the view or a state changes, until it is ended")
+		},
+		Run: func(_ []string, out io.Writer) error {
+			path, err := find(name)
+			if err != nil {
+				return err
+			}
+			return show(out, path, asJSON, watch)
+		}}
+}
+
+// find is the socket of the member, or of the only one that runs.
+func find(name string) (string, error) {
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		return "", errors.New("$TMPDIR is not set: the node's local socket lies there")
+	}
+	if name != "" {
+		return SocketPath(dir, name), nil
+	}
+	found, err := filepath.Glob(SocketPath(dir, "*"))
+	switch {
+	case err != nil:
+		return "", err
+	case len(found) == 0:
+		return "", fmt.Errorf("no member runs with $TMPDIR %s: is [cluster] on?", dir)
+	case len(found) > 1:
+		return "", fmt.Errorf("%d members run with $TMPDIR %s: name one by --name", len(found), dir)
+	}
+	return found[0], nil
+}
+
+func show(out io.Writer, path string, asJSON, watch bool) error {
+	last := ""
+	for {
+		status, raw, err := Ask(path)
+		if err != nil {
+			return err
+		}
+		if mark := essence(status); mark != last || !watch {
+			last = mark
+			text := string(raw)
+			if !asJSON {
+				text = table(status)
+			}
+			if _, err := io.WriteString(out, text); err != nil {
+				return err
+			}
+		}
+		if !watch {
+			return nil
+		}
+		time.Sleep(watchEvery)
+	}
+}
+
+// essence is what --watch waits for a change of: no ages.
+func essence(s members.Status) string {
+	var b strings.Builder
+	fmt.Fprint(&b, s.View.Number, s.Condition, s.State)
+	for _, m := range s.Members {
+		fmt.Fprint(&b, m.Name, m.Start, m.State, m.Link, m.Self)
+	}
+	return b.String()
+}
+
+// table is the status for people.
+func table(s members.Status) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s, %s, distrust of own verdicts %d of 4, incarnation %d\n", s.Name, s.State, s.Condition, s.Health, s.Inc)
+	fmt.Fprintf(&b, "view %d, %d members: %s\n", s.View.Number, len(s.View.Members), strings.Join(s.View.Members, " "))
+	fmt.Fprintf(&b, "%-16s %-12s %8s %-8s %8s %9s  %s\n", "member", "state", "for", "link", "heard", "answered", "evidence")
+	for _, m := range s.Members {
+		fmt.Fprintf(&b, "%-16s %-12s %8s %-8s %8s %9s  %s\n", m.Name, m.State, ago(m.For), m.Link, ago(m.Heard), ago(m.Reached), evidence(m))
+	}
+	if s.Refused > 0 {
+		fmt.Fprintf(&b, "%d times a member was not taken in for want of room\n", s.Refused)
+	}
+	return b.String()
+}
+
+func evidence(m members.Member) string {
+	var out []string
+	say := func(what string, by map[string]int64) {
+		if len(by) == 0 {
+			return
+		}
+		var who []string
+		for _, n := range slices.Sorted(maps.Keys(by)) {
+			who = append(who, n+" "+ago(by[n])+" ago")
+		}
+		out = append(out, what+" "+strings.Join(who, ", "))
+	}
+	say("missed by", m.Accusers)
+	say("heard by", m.Witnesses)
+	if m.Self.CutOff() {
+		out = append(out, "says of itself: "+m.Self.String())
+	}
+	if m.Lost > 1 {
+		out = append(out, fmt.Sprintf("lost %d times", m.Lost))
+	}
+	if m.Damped > 0 {
+		out = append(out, "kept out for "+ago(m.Damped)+" more")
+	}
+	if m.Former > 0 {
+		out = append(out, "another process before it")
+	}
+	return strings.Join(out, "; ")
+}
+
+func ago(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
--- /dev/null
+++ b/internal/cluster/options.go
@@ -0,0 +1,134 @@
+// Package cluster is the link among a cluster's nodes, [cluster] in the operator file: one UDP socket for short messages,
+// connections at the same address for full states, and the goroutine that owns the members' core. It decides nothing.
+//
+// There are no keys and no sign-in: the link belongs on a trusted network, which docs/operating/cluster.md says as well.
+package cluster
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"tackhub.example/tackhub/internal/operator"
+	"tackhub.example/tackhub/internal/part"
+)
+
+// Options are the section [cluster].
+type Options struct {
+	Cluster   string            `toml:"cluster"`   // its name: messages of others are dropped
+	Name      string            `toml:"name"`      // of this member; empty: the node's
+	Listen    string            `toml:"listen"`    // UDP and TCP
+	Advertise string            `toml:"advertise"` // how others reach it; empty: listen
+	Seeds     []string          `toml:"seeds"`     // addresses to begin with
+	Addresses map[string]string `toml:"addresses"` // members' addresses as seen from here, where they differ
+	Accept    []string          `toml:"accept"`    // networks whose messages are taken; empty: all
+	Period    operator.Duration `toml:"period"`    // between two probes
+	Timeout   operator.Duration `toml:"timeout"`   // for a direct answer
+	Suspicion operator.Duration `toml:"suspicion"` // the least until a silent member is taken out
+	Members   int               `toml:"members"`   // at the most, lost ones included
+	Rate      int               `toml:"rate"`      // messages taken in a second
+}
+
+const (
+	// The defaults: a member that stands still for two seconds stays in, a killed one is out within five seconds
+	// (docs/members.md has the measurements).
+	defaultPeriod    = 250 * time.Millisecond
+	defaultTimeout   = 150 * time.Millisecond
+	defaultSuspicion = 2500 * time.Millisecond
+
+	// mostMembers bounds what a member holds of the others: some 600 bytes each.
+	mostMembers = 1024
+
+	// defaultRate is three times what a member with a thousand others around it takes while most of them are lost.
+	defaultRate = 2000
+
+	leastPeriod, mostPeriod = 50 * time.Millisecond, 10 * time.Second
+)
+
+// nameMost bounds a member's name: it is part of a file's name, and stands in every message.
+const nameMost = 48
+
+// goodName tells whether a text can be a member's name.
+func goodName(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && (i == 0 || c != '.' && c != '-' && c != '_') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= nameMost
+}
+
+// Part is the subsystem.
+func Part() part.Part {
+	return part.Part{
+		Section: operator.Section{Name: "cluster", About: "the nodes know of one another: members, and who is there",
+			New: func() any {
+				return &Options{Cluster: "tackhub", Period: operator.Duration(defaultPeriod), Timeout: operator.Duration(defaultTimeout),
+					Suspicion: operator.Duration(defaultSuspicion), Members: mostMembers, Rate: defaultRate}
+			},
+			Check: check},
+		Build: build,
+	}
+}
+
+func check(options any) []operator.Fault {
+	o := options.(*Options)
+	var out []operator.Fault
+	fault := func(key, format string, args ...any) {
+		out = append(out, operator.Fault{Key: key, Text: fmt.Sprintf(format, args...)})
+	}
+	if o.Cluster == "" {
+		fault("cluster", "must not be empty")
+	}
+	if o.Name != "" && !goodName(o.Name) {
+		fault("name", "%q: up to 48 letters, digits, dots, dashes and underscores are wanted", o.Name)
+	}
+	listen, err := netip.ParseAddrPort(o.Listen)
+	if err != nil {
+		fault("listen", "%q is no IP address with a port", o.Listen)
+	}
+	if o.Advertise != "" {
+		if a, err := netip.ParseAddrPort(o.Advertise); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+			fault("advertise", "%q is no IP address with a port that others could reach", o.Advertise)
+		}
+	} else if err == nil && (listen.Addr().IsUnspecified() || listen.Port() == 0) {
+		fault("advertise", "is needed: nobody can reach %s", o.Listen)
+	}
+	for i, s := range o.Seeds {
+		if a, err := netip.ParseAddrPort(s); err != nil || a.Port() == 0 {
+			fault(fmt.Sprintf("seeds[%d]", i), "%q is no IP address with a port", s)
+		}
+	}
+	for name, s := range o.Addresses {
+		if a, err := netip.ParseAddrPort(s); err != nil || a.Port() == 0 || !goodName(name) {
+			fault("addresses."+name, "%q is no member's name with an IP address and a port", s)
+		}
+	}
+	for i, s := range o.Accept {
+		if _, err := netip.ParsePrefix(s); err != nil {
+			fault(fmt.Sprintf("accept[%d]", i), "%q is no network such as 10.0.0.0/8", s)
+		}
+	}
+	return append(out, o.spans()...)
+}
+
+// spans are the faults of times and bounds.
+func (o *Options) spans() []operator.Fault {
+	var out []operator.Fault
+	fault := func(bad bool, key, format string, args ...any) {
+		if bad {
+			out = append(out, operator.Fault{Key: key, Text: fmt.Sprintf(format, args...)})
+		}
+	}
+	period := o.Period.Std()
+	fault(period < leastPeriod || period > mostPeriod, "period", "must be %v to %v", leastPeriod, mostPeriod)
+	fault(o.Timeout.Std() < time.Millisecond || o.Timeout > o.Period, "timeout", "must be 1ms to the period, %v", period)
+	// A probe with its helpers takes two periods; a span below four would end before a wrong suspicion is refuted.
+	fault(o.Suspicion < 4*o.Period, "suspicion", "must be at least four periods, %v", 4*period)
+	fault(o.Suspicion.Std() > time.Hour, "suspicion", "must be at most 1h")
+	fault(o.Members < 2 || o.Members > mostMembers, "members", "must be 2 to %d", mostMembers)
+	fault(o.Rate < 10 || o.Rate > 1_000_000, "rate", "must be 10 to 1000000")
+	return out
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -122,6 +122,19 @@
 	Drops Group `json:"drops"` // not sent or not taken, by reason
 }
 
+// Cluster are the counts of the link among the members of a cluster.
+type Cluster struct {
+	Sent          Count `json:"sent"` // datagrams
+	SentBytes     Count `json:"sent_bytes"`
+	Taken         Count `json:"taken"` // messages that could be read and were this cluster's
+	TakenBytes    Count `json:"taken_bytes"`
+	Drops         Group `json:"drops"`   // not sent or not taken, by reason
+	Streams       Count `json:"streams"` // full states sent to be answered
+	StreamsFailed Count `json:"streams_failed"`
+	Views         Count `json:"views"`
+	Members       Count `json:"members"` // in the view now
+}
+
 // Watch are the counts of decisions that other settings would have made otherwise.
 type Watch struct {
 	Steps  Count `json:"steps"`  // steps of the module that were compared
@@ -207,6 +220,7 @@
 		SaveFailures Count `json:"save_failures"`
 	} `json:"inventory"`
 	Peers    Peers    `json:"peers"`        // all 0 where nodes do not talk
+	Cluster  Cluster  `json:"cluster"`      // of the subsystem; all 0 where it is off
 	Watch    Watch    `json:"watch"`        // all 0 where no other settings are watched
 	CoapBack CoapBack `json:"coap_servers"` // all 0 where no server speaks it
 	Coap     Coap     `json:"coap"`         // of the subsystem; all 0 where it is off
--- /dev/null
+++ b/internal/members/detect.go
@@ -0,0 +1,300 @@
+package members
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// probe is a ping that waits for its answer.
+type probe struct {
+	e     *entry
+	start uint64
+	seq   uint32
+	at    time.Duration
+	asked bool // helpers have been
+}
+
+// relay is a ping for somebody else.
+type relay struct {
+	seq, forSeq uint32
+	asker       string
+	target      string
+	at          time.Duration
+}
+
+// patience is what an own probe is given, longer while this process distrusts itself.
+func (c *Core) patience(d time.Duration) time.Duration { return d + d*time.Duration(c.health)/2 }
+
+// probeNext pings the next member in turn, and while somebody is suspected also the one that nobody heard for longest.
+func (c *Core) probeNext() {
+	if c.now < c.nextProbe {
+		return
+	}
+	c.nextProbe = max(c.nextProbe+c.o.Period, c.now)
+	c.ping(c.inTurn())
+	if e := c.mostMissed(); e != nil {
+		c.ping(e)
+	}
+}
+
+// inTurn takes each member once before any comes again: that bounds the time until a loss is noticed (SWIM, 4.3).
+func (c *Core) inTurn() *entry {
+	for range 2 {
+		for len(c.order) > 0 {
+			e := c.order[0]
+			c.order = c.order[1:]
+			if c.known[e.name] == e && (e.state.in() || e.state == Joining) {
+				return e
+			}
+		}
+		c.order = c.pick(len(c.known), func(e *entry) bool { return e.state.in() || e.state == Joining })
+	}
+	return nil
+}
+
+// mostMissed is the member that nobody has heard for longest, while somebody is suspected: losses seldom come alone.
+func (c *Core) mostMissed() *entry {
+	var out *entry
+	suspects := false
+	for _, e := range c.sorted() {
+		suspects = suspects || e.state == Suspect
+		if e.state.in() && c.now-e.probed > probeOf*c.o.Period && (out == nil || e.seen < out.seen) {
+			out = e
+		}
+	}
+	if !suspects {
+		return nil
+	}
+	return out
+}
+
+func (c *Core) ping(e *entry) {
+	if e == nil {
+		return
+	}
+	c.seq++
+	e.probed = c.now
+	c.probes = append(c.probes, &probe{e: e, start: e.start, seq: c.seq, at: c.now})
+	m := Message{Kind: Ping, Seq: c.seq}
+	if e.state == Suspect || e.state == Unreachable { // so that it can refute (Lifeguard's buddy)
+		m.News = append(m.News, Item{Name: e.name, Start: e.start, Inc: e.inc, State: Suspect, By: c.o.Name, Age: age(c.now - e.suspectAt)})
+	}
+	c.send(e, m, false)
+}
+
+// checkProbes asks helpers where a direct answer is missing, and draws the conclusion where none has come at all.
+func (c *Core) checkProbes() {
+	c.relays = slices.DeleteFunc(c.relays, func(r relay) bool { return c.now-r.at > c.patience(probeOf*c.o.Period) })
+	left := c.probes[:0]
+	for _, p := range c.probes {
+		switch {
+		case c.known[p.e.name] != p.e || p.e.start != p.start || p.e.state == Left:
+			continue
+		case c.now-p.at >= c.patience(probeOf*c.o.Period):
+			c.missed(p)
+			continue
+		case !p.asked && c.now-p.at >= c.patience(c.o.Timeout):
+			p.asked = true
+			for _, h := range c.pick(helpers, func(h *entry) bool { return h != p.e && h.state == Alive && h.broken < 0 }) {
+				c.send(h, Message{Kind: Relay, Seq: p.seq, Target: p.e.name}, false)
+			}
+		}
+		left = append(left, p)
+	}
+	c.probes = left
+}
+
+// missed is a probe without any answer. Who hears nobody meanwhile doubts itself first, and accuses nobody aloud once it
+// holds itself for cut off.
+func (c *Core) missed(p *probe) {
+	e := p.e
+	if c.heardAny < p.at {
+		c.distrust(1)
+	}
+	if e.state == Joining && c.now-e.since > c.o.Suspicion { // told of, and never met
+		e.state, e.since, e.suspectAt = Unreachable, c.now, c.now
+	}
+	if !e.state.in() {
+		return
+	}
+	grace := p.at
+	if e.broken >= 0 { // others are known to hear it
+		grace = c.now - grudgeOf*c.suspicion(0)
+	}
+	if e.seen > grace {
+		c.linkBroken(e)
+		return
+	}
+	at := p.at + c.o.Period // an answer was due by then
+	c.suspect(e, c.o.Name, at)
+	if !c.cond.CutOff() {
+		c.rumour(Item{Name: e.name, Start: e.start, Inc: e.inc, State: Suspect, By: c.o.Name}, at)
+	}
+}
+
+// linkBroken notes that this process and a member do not reach each other, though others hear it.
+func (c *Core) linkBroken(e *entry) {
+	if e.broken < 0 {
+		e.broken = c.now
+		c.note("link", "others hear a member that this one does not reach", "member", e.name, "heard_ms_ago", age(c.now-e.heard))
+	}
+}
+
+func (c *Core) linkWhole(e *entry) {
+	if e.broken >= 0 {
+		c.note("link_whole", "a member is reached again", "member", e.name, "after_ms", age(c.now-e.broken))
+		e.broken = -1
+	}
+}
+
+// suspicion is how long a member with so many confirmations is suspect before it is taken out.
+func (c *Core) suspicion(confirmed int) time.Duration {
+	least := float64(c.o.Suspicion) * logOf(float64(c.size()), sizeKnown) * (1 + float64(c.health)/8)
+	open := 0.0 // nobody else could confirm it
+	if want := min(confirmers, c.size()-2); want > 0 {
+		open = 1 - math.Log(float64(max(0, min(confirmed, want)))+1)/math.Log(float64(want)+1)
+	}
+	return time.Duration(least * (1 + (shyOf-1)*open))
+}
+
+// suspect holds a member for missing since at, by what somebody says.
+func (c *Core) suspect(e *entry, by string, at time.Duration) {
+	if e.state != Suspect {
+		e.state, e.since, e.suspectAt = Suspect, c.now, at
+		clear(e.accusers)
+		// Some look for themselves, so that it is confirmed or somebody can vouch for it. Four in all, whatever the
+		// number of members: they are what the suspicion waits for.
+		if by != c.o.Name && c.rng.Float64() < float64(confirmers+1)/float64(c.size()) {
+			c.ping(e)
+		}
+	}
+	e.accusers[by] = at
+}
+
+// verdicts takes out those whose suspicion has lasted. A member that hears nobody judges for itself alone.
+func (c *Core) verdicts() {
+	for _, e := range c.sorted() {
+		if e.state != Suspect || c.now-e.suspectAt < c.suspicion(len(e.accusers)-1) {
+			continue
+		}
+		e.state, e.since = Unreachable, c.now
+		if c.now-e.outAt > flapSpan {
+			e.outs = 0
+		}
+		e.outs, e.outAt = e.outs+1, c.now
+		c.changed()
+		if !c.cond.CutOff() {
+			c.rumour(Item{Name: e.name, Start: e.start, Inc: e.inc, State: Unreachable, By: c.o.Name}, e.suspectAt)
+		}
+	}
+}
+
+// lives brings a member back that was heard at a moment, by this process or by another.
+func (c *Core) lives(e *entry, at time.Duration) {
+	e.seen = max(e.seen, at)
+	switch e.state {
+	case Suspect:
+		if at <= e.suspectAt {
+			return
+		}
+	case Unreachable:
+		if at <= e.since {
+			return
+		}
+		if e.outs > flapsFree {
+			e.backAt = c.now + min(flapLongest, c.o.Suspicion<<(e.outs-flapsFree))
+		}
+	case Joining:
+	default:
+		return
+	}
+	if _, mine := e.accusers[c.o.Name]; e.state == Suspect && mine && e.reached < e.suspectAt {
+		c.linkBroken(e)
+	}
+	was := e.state
+	e.state, e.since = Alive, c.now
+	clear(e.accusers)
+	if was != Suspect {
+		c.changed()
+	}
+}
+
+// tryLost pings one that was lost, and seeds while nobody is there or now and then: halves find each other again.
+func (c *Core) tryLost() {
+	if c.now < c.nextTry {
+		return
+	}
+	c.nextTry = c.now + tryEvery*c.o.Period
+	for _, e := range c.pick(1, func(e *entry) bool { return e.state == Unreachable }) {
+		c.ping(e)
+	}
+	if c.size() > 1 && c.now < c.nextSeed || len(c.o.Seeds) == 0 {
+		return
+	}
+	c.nextSeed = c.now + syncEvery*c.o.Period
+	tried := 0
+	for _, i := range c.rng.Perm(len(c.o.Seeds)) {
+		seed := c.o.Seeds[i]
+		if seed == c.o.Address || c.isIn(seed) {
+			continue
+		}
+		c.seq++
+		c.sendTo("", seed, Message{Kind: Ping, Seq: c.seq}, false)
+		if tried++; tried == fanout {
+			return
+		}
+	}
+}
+
+func (c *Core) isIn(address string) bool {
+	for _, e := range c.known {
+		if e.address == address && e.state.in() {
+			return true
+		}
+	}
+	return false
+}
+
+// sync exchanges everything with one member.
+func (c *Core) sync() {
+	if c.now < c.nextSync {
+		return
+	}
+	c.nextSync = c.now + time.Duration(syncEvery*max(1, float64(c.size())/sizeKnown)*float64(c.o.Period)) // its size grows with the members
+	for _, e := range c.pick(1, func(e *entry) bool { return e.state == Alive && e.broken < 0 }) {
+		c.send(e, Message{Kind: Full}, true)
+	}
+}
+
+// judgeSelf finds out whether this process is heard and hears.
+func (c *Core) judgeSelf() {
+	// A dozen pings go out in that time: that nobody answered one of them is no chance.
+	patience := c.patience(c.o.Suspicion)
+	next := Whole
+	switch {
+	case !c.met:
+		next = Alone
+	case c.now-c.heardAny > patience:
+		next = Deaf
+	case c.now-c.ackAny > 2*patience:
+		next = Mute
+	}
+	if next != Whole && !c.anyOther() { // all others said goodbye
+		next = Alone
+	}
+	if next != c.cond {
+		c.note("condition", "this process's own place among the members", "was", c.cond.String(), "is", next.String())
+		c.cond = next
+	}
+}
+
+// anyOther tells whether somebody else should be there.
+func (c *Core) anyOther() bool {
+	for _, e := range c.known {
+		if e.state != Left && e.state != Replaced {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/members/message.go
@@ -0,0 +1,68 @@
+package members
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -tests=false -io=false -file message.go -o message_gen.go
+//msgp:limit arrays:2048 maps:32
+
+// Kind is what a message is for.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	Ping      Kind = iota + 1 // asks for an Ack with the same number
+	Ack                       // answers a Ping, or a Relay whose target answered
+	Relay                     // asks the receiver to ping Target and to pass its answer on
+	News                      // carries news alone
+	Full                      // everything that the sender knows, wanting the same back; on a stream
+	FullReply                 // the same back
+)
+
+// Versions of the wire form. A reader skips keys, kinds and states that it does not know, so a later version may add them;
+// WireLeast is raised only by a version that an older reader would misunderstand.
+const (
+	WireVersion = 1
+	WireLeast   = 1
+)
+
+// State is what is held of a member, and of what a piece of news tells.
+type State uint8
+
+// The states. Nobody is ever called dead: who is unreachable may still be serving.
+const (
+	Joining     State = iota + 1 // its process has begun and has not heard of the others yet
+	Alive                        // in the view
+	Suspect                      // in the view; somebody misses its answers
+	Unreachable                  // out of the view; tried on
+	Left                         // it said goodbye; final for that process
+	Replaced                     // another process has its name; final for that process
+
+	// Vouch is no state of a member: By heard it directly, Age ago.
+	Vouch
+)
+
+// Message is what one member sends another. Keys are short: a ping without news is some 60 bytes.
+type Message struct {
+	Kind    Kind   `msg:"k"`
+	Version uint8  `msg:"v"`
+	Least   uint8  `msg:"l,omitempty"` // the oldest version that understands it; 0: 1
+	Cluster uint32 `msg:"c"`           // hash of the cluster's name
+	From    string `msg:"f"`
+	Start   uint64 `msg:"s"`           // the sender's process: a later one of the same name has a higher number
+	Inc     uint32 `msg:"i,omitempty"` // the sender's incarnation, raised to refute
+	Address string `msg:"a,omitempty"` // the sender's
+	Seq     uint32 `msg:"n,omitempty"`
+	Target  string `msg:"t,omitempty"` // of a Relay, and of the Ack that answers one
+	Self    uint8  `msg:"o,omitempty"` // the sender's own Condition
+	View    uint64 `msg:"w,omitempty"` // the number of the sender's view
+	News    []Item `msg:"e,omitempty"`
+}
+
+// Item is one piece of news on one member.
+type Item struct {
+	Name    string `msg:"n"`
+	Start   uint64 `msg:"s"`
+	Inc     uint32 `msg:"i,omitempty"`
+	State   State  `msg:"t"`
+	By      string `msg:"b,omitempty"` // who says so, where it is not the member itself
+	Age     uint32 `msg:"a,omitempty"` // milliseconds since it was so, by the sender's clock
+	Address string `msg:"h,omitempty"`
+}
--- /dev/null
+++ b/internal/members/news.go
@@ -0,0 +1,406 @@
+package members
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// slot names the place of a piece of news in the queue: a later one of the same slot takes it.
+type slot struct {
+	name  string
+	vouch bool
+}
+
+// rumour is news that is passed on.
+type rumour struct {
+	item Item
+	at   time.Duration // it was so, by this process's clock
+	sent int
+}
+
+const (
+	// packetMost is what a datagram may hold: it passes every usual link whole.
+	packetMost = 1200
+
+	// headMost is what a message takes besides its news, and itemMost what one piece takes besides its texts.
+	headMost, itemMost = 160, 48
+)
+
+func age(d time.Duration) uint32 { return uint32(min(max(0, d.Milliseconds()), math.MaxUint32)) }
+
+// rumour begins to pass news on.
+func (c *Core) rumour(item Item, at time.Duration) {
+	c.queue[slot{item.Name, item.State == Vouch}] = &rumour{item: item, at: at}
+}
+
+// fresh are the news for a message: what is said already, what concerns the receiver, what has been told least.
+func (c *Core) fresh(to string, said []Item) []Item {
+	if len(c.queue) == 0 {
+		return said
+	}
+	room := packetMost - headMost
+	for _, i := range said {
+		room -= size(i)
+	}
+	waiting := make([]*rumour, 0, len(c.queue))
+	for _, r := range c.queue {
+		waiting = append(waiting, r)
+	}
+	slices.SortFunc(waiting, func(a, b *rumour) int {
+		own := func(r *rumour) int {
+			if r.item.Name == to {
+				return 0
+			}
+			return 1
+		}
+		return cmp.Or(own(a)-own(b), a.sent-b.sent, cmp.Compare(a.item.Name, b.item.Name), int(a.item.State)-int(b.item.State))
+	})
+	most := c.sendings()
+	for _, r := range waiting {
+		if room -= size(r.item); room < 0 {
+			break
+		}
+		item := r.item
+		item.Age = age(c.now - r.at)
+		said = append(said, item)
+		if r.sent++; r.sent >= most {
+			delete(c.queue, slot{item.Name, item.State == Vouch})
+		}
+	}
+	return said
+}
+
+// sendings is how often a piece of news is passed on.
+func (c *Core) sendings() int { return int(math.Ceil(sendings * logOf(float64(c.size()), 9))) }
+
+func size(i Item) int { return itemMost + len(i.Name) + len(i.By) + len(i.Address) }
+
+// tell spreads news for which there is no other message.
+func (c *Core) tell() {
+	if len(c.queue) == 0 || c.now < c.nextNews {
+		return
+	}
+	c.nextNews = c.now + c.o.Period
+	for _, e := range c.pick(fanout, func(e *entry) bool { return e.state.in() }) {
+		c.send(e, Message{Kind: News}, false)
+	}
+}
+
+// everything is all that is known, for an exchange of full states.
+func (c *Core) everything() []Item {
+	out := []Item{c.selfItem()}
+	for _, e := range c.sorted() {
+		i := Item{Name: e.name, Start: e.start, Inc: e.inc, State: e.state, Address: e.address, Age: age(c.now - e.since)}
+		if e.state == Suspect || e.state == Unreachable {
+			if c.cond.CutOff() { // its verdicts are for itself alone
+				i.State = Alive
+			}
+			i.By, i.Age = c.o.Name, age(c.now-e.suspectAt)
+		}
+		out = append(out, i)
+	}
+	return out
+}
+
+// Receive takes a message in. What it brings about is in Take; the reply to a Full is there for its stream.
+func (c *Core) Receive(now time.Duration, m *Message) {
+	c.advance(now)
+	if c.state == Left || c.state == Replaced || m.Cluster != c.o.Cluster || m.Least > WireVersion || m.From == "" {
+		return
+	}
+	if m.From == c.o.Name {
+		if m.Start != c.o.Start {
+			c.aboutMe(Item{Name: m.From, Start: m.Start, Inc: m.Inc, State: Alive}, nil)
+		}
+		return
+	}
+	e := c.speaker(m)
+	if e == nil {
+		return
+	}
+	c.heardAny, c.met = c.now, true
+	c.highest = max(c.highest, m.View)
+	c.heard(e, m)
+	for _, i := range m.News {
+		c.learn(i, e)
+	}
+	switch m.Kind {
+	case Ping:
+		reply := Message{Kind: Ack, Seq: m.Seq}
+		if e.state == Suspect || e.state == Unreachable {
+			reply.News = []Item{{Name: e.name, Start: e.start, Inc: e.inc, State: Suspect, By: c.o.Name}}
+		}
+		c.send(e, reply, false)
+	case Ack:
+		c.acked(e, m)
+	case Relay:
+		if t := c.known[m.Target]; t != nil && len(c.relays) < c.o.Most {
+			c.seq++
+			c.relays = append(c.relays, relay{c.seq, m.Seq, m.From, m.Target, c.now})
+			c.send(t, Message{Kind: Ping, Seq: c.seq}, false)
+		}
+	case Full:
+		c.send(e, Message{Kind: FullReply}, true)
+	case FullReply:
+		c.ackAny = c.now
+		c.entered()
+	}
+}
+
+// speaker finds who sent a message; nil where it is not to be listened to.
+func (c *Core) speaker(m *Message) *entry {
+	e := c.known[m.From]
+	switch {
+	case e == nil:
+		if m.Address == "" || !c.room() {
+			return nil
+		}
+		e = c.add(Item{Name: m.From, Start: m.Start, Inc: m.Inc, State: Alive, Address: m.Address}, c.now)
+	case m.Start < e.start: // a process that has been replaced and does not know
+		c.sendTo(e.name, m.Address, Message{Kind: News, News: []Item{{Name: e.name, Start: e.start, Inc: e.inc, State: Alive, Address: e.address}}}, false)
+		return nil
+	case m.Start > e.start:
+		c.replace(e, Item{Name: m.From, Start: m.Start, Inc: m.Inc, State: Alive, Address: m.Address})
+	case e.state == Left:
+		return nil
+	}
+	return e
+}
+
+// add takes a new member in.
+func (c *Core) add(i Item, at time.Duration) *entry {
+	e := &entry{name: i.Name, address: i.Address, start: i.Start, inc: i.Inc, state: i.State, since: c.now, heard: never, seen: never,
+		reached: never, broken: -1, probed: never, outAt: never, witness: map[string]time.Duration{}, accusers: map[string]time.Duration{}}
+	c.known[i.Name] = e
+	c.order = append(c.order, e)
+	if i.State == Suspect || i.State == Unreachable {
+		e.suspectAt = at
+	}
+	if i.State != Suspect { // whom others suspect is theirs to judge, or to be met
+		c.rumour(i, at)
+	}
+	c.changed()
+	return e
+}
+
+// replace lets a new process have its name.
+func (c *Core) replace(e *entry, i Item) {
+	c.note("replaced", "another process has a member's name now", "member", e.name, "was", e.start, "is", i.Start, "state", e.state.String())
+	former, outs, outAt, state := e.start, e.outs, e.outAt, e.state
+	delete(c.known, e.name)
+	if i.Address == "" {
+		i.Address = e.address
+	}
+	n := c.add(i, c.now)
+	n.outs, n.outAt = outs, outAt
+	if state != Left {
+		n.former = former
+	}
+}
+
+// heard notes that a member's own message has come.
+func (c *Core) heard(e *entry, m *Message) {
+	e.self = Condition(m.Self)
+	if m.Address != "" {
+		e.address = m.Address
+	}
+	suspect, lost := e.state == Suspect, e.state == Unreachable
+	e.heard = c.now
+	if m.Inc > e.inc {
+		e.inc = m.Inc
+	}
+	c.lives(e, c.now)
+	if suspect || lost {
+		c.rumour(Item{Name: e.name, Start: e.start, Inc: e.inc, State: Vouch, By: c.o.Name}, c.now)
+	}
+	if lost { // what each side missed
+		c.send(e, Message{Kind: Full}, true)
+	}
+}
+
+// acked is an answer to an own ping, or to one made for another.
+func (c *Core) acked(e *entry, m *Message) {
+	c.ackAny = c.now
+	for at, r := range c.relays {
+		if r.seq == m.Seq && r.target == e.name && m.Target == "" {
+			c.relays = slices.Delete(c.relays, at, at+1)
+			if a := c.known[r.asker]; a != nil {
+				c.send(a, Message{Kind: Ack, Seq: r.forSeq, Target: e.name}, false)
+			}
+			return
+		}
+	}
+	for at, p := range c.probes {
+		if p.seq != m.Seq {
+			continue
+		}
+		switch m.Target {
+		case "":
+			if p.e != e {
+				return
+			}
+			e.reached = c.now
+			c.linkWhole(e)
+		case p.e.name: // a helper reached it
+			c.witnessed(p.e, e.name, p.at)
+			c.linkBroken(p.e)
+		default:
+			return
+		}
+		c.probes = slices.Delete(c.probes, at, at+1)
+		c.distrust(-1)
+		return
+	}
+	if m.Target == "" && c.state == Joining { // a seed has answered
+		c.send(e, Message{Kind: Full}, true)
+	} else if m.Target == "" && e.heard == c.now {
+		e.reached = c.now // late, and an answer all the same
+		c.linkWhole(e)
+	}
+}
+
+// witnessed notes that somebody heard a member.
+func (c *Core) witnessed(e *entry, by string, at time.Duration) {
+	if at > e.witness[by] || e.witness[by] == 0 {
+		if _, known := e.witness[by]; !known && len(e.witness) >= witnesses {
+			clear(e.witness) // the latest are what counts
+		}
+		e.witness[by] = at
+	}
+	c.lives(e, at)
+}
+
+// witnesses of one member that are kept, for whoever asks why it stays in.
+const witnesses = 16
+
+// entered notes that this process has been taken in.
+func (c *Core) entered() {
+	if c.state == Joining {
+		c.joined()
+	}
+}
+
+// learn takes one piece of news in. By SWIM a higher incarnation goes before a lower, and at the same one the worse state
+// goes first; here others' verdicts are accusations: each member waits its own suspicion out before it takes one out of its view.
+func (c *Core) learn(i Item, from *entry) {
+	at := c.now - time.Duration(i.Age)*time.Millisecond
+	if i.Name == c.o.Name {
+		c.aboutMe(i, from)
+		return
+	}
+	e := c.known[i.Name]
+	switch {
+	case i.Name == "" || i.State < Joining || i.State > Vouch || i.State == Replaced:
+		return
+	case e == nil:
+		if i.Address == "" || i.State == Vouch || !c.room() {
+			return
+		}
+		c.add(i, at)
+		return
+	case i.Start < e.start:
+		return
+	case i.Start > e.start:
+		if i.State != Vouch && i.State != Suspect {
+			c.replace(e, i)
+		}
+		return
+	case e.state == Left:
+		return
+	}
+	switch i.State {
+	case Left:
+		e.state, e.since = Left, c.now
+		c.rumour(i, at)
+		c.changed()
+	case Alive, Joining:
+		if i.Inc > e.inc { // it refuted, at that moment or later
+			e.inc = i.Inc
+			c.lives(e, at)
+			if e.state == Suspect || e.state == Unreachable { // its clock and ours differ on what came first: it knows better
+				c.lives(e, c.now)
+			}
+			c.rumour(i, at)
+		} else if i.State == Alive && e.state == Joining {
+			c.lives(e, c.now)
+		}
+	case Suspect, Unreachable:
+		c.accused(e, i, at)
+	case Vouch:
+		if news := at > e.seen+c.o.Period; i.By != "" {
+			c.witnessed(e, i.By, at)
+			if news {
+				c.rumour(i, at)
+			}
+		}
+	}
+}
+
+// accused weighs what another member says against one.
+func (c *Core) accused(e *entry, i Item, at time.Duration) {
+	if i.Inc < e.inc || i.By == "" {
+		return
+	}
+	e.inc = i.Inc
+	switch e.state {
+	case Alive, Joining:
+		if e.seen > at { // somebody has heard it since
+			if i.By != c.o.Name {
+				by := c.o.Name
+				when := e.heard
+				for w, t := range e.witness {
+					if t > when || t == when && w < by {
+						by, when = w, t
+					}
+				}
+				c.rumour(Item{Name: e.name, Start: e.start, Inc: e.inc, State: Vouch, By: by}, e.seen)
+			}
+			return
+		}
+		if i.State == Unreachable { // half of the span is left for it to refute
+			at = max(at, c.now-c.suspicion(confirmers)/2)
+		}
+		c.suspect(e, i.By, at)
+		c.rumour(i, at)
+	case Suspect:
+		if _, known := e.accusers[i.By]; !known && len(e.accusers) < c.o.Most {
+			e.accusers[i.By] = at
+			if len(e.accusers) <= confirmers+1 {
+				c.rumour(i, at)
+			}
+		}
+	}
+}
+
+// aboutMe refutes what is wrong about this process, and gives way to a later one of its name.
+func (c *Core) aboutMe(i Item, from *entry) {
+	switch {
+	case i.State == Vouch:
+	case i.Start > c.o.Start && c.state == Joining: // the one before us had a clock that was ahead
+		c.o.Start = i.Start + 1
+	case i.Start > c.o.Start:
+		c.state, c.cond = Replaced, Outdated
+		c.queue = map[slot]*rumour{}
+		c.note("outdated", "another process has this one's name; this one takes no part in the cluster any more, until it is restarted",
+			"own_start", c.o.Start, "its_start", i.Start)
+	case i.Start < c.o.Start:
+		if i.State != Left {
+			c.rumour(c.selfItem(), c.now)
+		}
+	case (i.State == Suspect || i.State == Unreachable) && i.Inc >= c.inc:
+		c.inc = i.Inc + 1
+		c.distrust(1)
+		c.rumour(c.selfItem(), c.now)
+		if from != nil {
+			c.send(from, Message{Kind: News}, false)
+		}
+		if c.now-c.refuted >= c.o.Period { // at once, not with the next ping
+			c.refuted, c.nextNews = c.now, c.now
+			c.tell()
+		}
+	case i.State == Left:
+		c.inc = max(c.inc, i.Inc) + 1
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,7 @@
 
 // node is all parts of one running node.
 type node struct {
+	name    string
 	known   catalog.List
 	clock   clock.Clock
 	count   *counters.Counters
@@ -105,7 +106,7 @@
 	for _, class := range set.Classes {
 		count.Operations[class.Name] = &counters.Operation{}
 	}
-	n := &node{each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set)}
+	n := &node{name: c.Name, each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set)}
 	n.catalog = catalog.New(catalog.Options{Address: c.Discovery, Nodes: set.Nodes, Subscribe: set.Subscribe,
 		MustAsk: clock.Span(set.MustAskIn), Grace: clock.Span(set.DrainGrace), Log: log, Count: count}, c.Known)
 	n.roster = roster.New(n.catalog, lateNews{n})
@@ -213,6 +214,9 @@
 // Classes are those of the settings.
 func (n *node) Classes() []logic.Class { return n.classes }
 
+// Name is the node's.
+func (n *node) Name() string { return n.name }
+
 // Counters are the node's.
 func (n *node) Counters() *counters.Counters { return n.count }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"tackhub.example/tackhub/internal/cluster"
 	"tackhub.example/tackhub/internal/coap/front"
 	"tackhub.example/tackhub/internal/part"
 	"tackhub.example/tackhub/internal/roster"
@@ -13,6 +14,7 @@
 	return []part.Part{
 		roster.Part(),
 		front.Part(),
+		cluster.Part(),
 		vitals.Part(),
 	}
 }
--- a/lab/link/conn.go
+++ b/lab/link/conn.go
@@ -23,6 +23,13 @@
 	silent [2]chan struct{} // by direction: not nil while nothing passes; closed at the end of the silence
 }
 
+// Impair changes what is done to connections that begin from now on.
+func (l *Link) Impair(up, down Params) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.up, l.down = up, down
+}
+
 // Direction is one way of a link, as the wrapped side sees it.
 type Direction int
 
@@ -79,9 +86,9 @@
 // Wrap puts a TCP connection on the link.
 func (l *Link) Wrap(nc net.Conn) *Conn {
 	n := l.made.Add(1)
+	l.mu.Lock()
 	c := &Conn{Conn: nc, link: l, began: time.Now(), ended: make(chan struct{}),
 		out: newPipe(NewShaper(l.up, l.seed, 2*n)), in: newPipe(NewShaper(l.down, l.seed, 2*n+1))}
-	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
 	go c.push()
--- /dev/null
+++ b/lab/membersim/membersim.go
@@ -0,0 +1,327 @@
+// Package membersim plays many cores of internal/members on one virtual clock, over a network that cuts directed links,
+// loses, delays, doubles and reorders messages, and stops, kills and restarts members. All chance is from one seed. It
+// stands beside the tests with real processes, for numbers of members and of schedules that no machine runs.
+package membersim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tackhub.example/tackhub/internal/members"
+)
+
+// Options are one cluster.
+type Options struct {
+	Members   int
+	Seed      uint64
+	Period    time.Duration
+	Timeout   time.Duration
+	Suspicion time.Duration
+	Loss      float64
+	Delay     time.Duration // one way
+	Jitter    time.Duration // added evenly between 0 and it
+	Double    float64       // share of the datagrams that come twice
+	Met       bool          // everybody knows everybody at the start
+}
+
+// Sim is a cluster on its way.
+type Sim struct {
+	o       Options
+	rng     *rand.Rand
+	now     time.Duration
+	events  events
+	seq     int
+	nodes   []*Node
+	cut     map[[2]int]bool
+	counted bool
+
+	Sent, Bytes int64 // datagrams and streams since Count
+	Largest     int   // datagram
+}
+
+// Node is one member's processes.
+type Node struct {
+	Core    *members.Core
+	up      bool
+	stopped bool
+	process int // of how many it is; what an earlier one left under way is void
+	start   uint64
+	held    []func()      // what came while it stood still
+	offset  time.Duration // of its clock: each has its own zero
+	Notes   []members.Note
+}
+
+// heldMost is what a stopped process's socket holds.
+const heldMost = 400
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push is container/heap's.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop is container/heap's.
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// New starts a cluster; the first two members are the seeds.
+func New(o Options) *Sim {
+	s := &Sim{o: o, rng: rand.New(rand.NewPCG(o.Seed, 77)), cut: map[[2]int]bool{}}
+	for range o.Members {
+		s.nodes = append(s.nodes, &Node{offset: time.Duration(s.rng.Int64N(int64(time.Hour)))})
+	}
+	for i := range s.nodes {
+		s.Restart(i)
+	}
+	if o.Met {
+		s.introduce()
+	}
+	return s
+}
+
+func name(i int) string    { return fmt.Sprintf("n%03d", i) }
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7946", i/250, i%250) }
+
+func index(address string) int {
+	var a, b int
+	if _, err := fmt.Sscanf(address, "10.0.%d.%d:7946", &a, &b); err != nil {
+		return -1
+	}
+	return a*250 + b
+}
+
+// introduce has everybody take everybody in, as after a full exchange.
+func (s *Sim) introduce() {
+	var news []members.Item
+	for i, n := range s.nodes {
+		news = append(news, members.Item{Name: name(i), Start: n.start, State: members.Alive, Address: address(i)})
+	}
+	for i, n := range s.nodes {
+		from := (i + 1) % len(s.nodes)
+		n.Core.Receive(s.local(i), &members.Message{Kind: members.FullReply, Version: members.WireVersion, Cluster: 1, From: name(from),
+			Start: s.nodes[from].start, Address: address(from), News: news})
+	}
+}
+
+func (s *Sim) local(i int) time.Duration { return s.now + s.nodes[i].offset }
+
+// Node gives a member.
+func (s *Sim) Node(i int) *Node { return s.nodes[i] }
+
+// Up tells whether a member's process runs and is not stopped.
+func (s *Sim) Up(i int) bool { return s.nodes[i].up && !s.nodes[i].stopped }
+
+// Now is the time since the start.
+func (s *Sim) Now() time.Duration { return s.now }
+
+// Restart starts a member's process, in place of one that may run.
+func (s *Sim) Restart(i int) {
+	n := s.nodes[i]
+	n.process++
+	n.start++
+	n.up, n.stopped, n.held = true, false, nil
+	n.Core = members.New(members.Options{Name: name(i), Address: address(i), Cluster: 1, Start: n.start, Seed: s.o.Seed<<16 + uint64(i),
+		Period: s.o.Period, Timeout: s.o.Timeout, Suspicion: s.o.Suspicion, Most: 1024,
+		Seeds: []string{address(0), address(1 % s.o.Members)}}, s.local(i))
+	s.tick(i, n.process, time.Duration(s.rng.Int64N(int64(s.o.Period/5))))
+}
+
+func (s *Sim) tick(i, process int, in time.Duration) {
+	s.at(in, func() {
+		n := s.nodes[i]
+		if !n.up || n.process != process {
+			return
+		}
+		s.hand(i, func() { n.Core.Tick(s.local(i)) })
+		s.tick(i, process, s.o.Period/5)
+	})
+}
+
+// hand has a process do something now, or when it is woken.
+func (s *Sim) hand(i int, do func()) {
+	n := s.nodes[i]
+	if n.stopped {
+		if len(n.held) < heldMost {
+			n.held = append(n.held, do)
+		}
+		return
+	}
+	do()
+	s.carry(i)
+}
+
+// Kill ends a process without a word.
+func (s *Sim) Kill(i int) { s.nodes[i].up = false }
+
+// Leave ends it as planned.
+func (s *Sim) Leave(i int) {
+	s.nodes[i].Core.Leave(s.local(i))
+	s.carry(i)
+	s.nodes[i].up = false
+}
+
+// Stop is SIGSTOP, Wake SIGCONT.
+func (s *Sim) Stop(i int) { s.nodes[i].stopped = true }
+
+// Wake lets it go on.
+func (s *Sim) Wake(i int) {
+	n := s.nodes[i]
+	if !n.stopped {
+		return
+	}
+	n.stopped = false
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		s.hand(i, do)
+	}
+}
+
+// Cut cuts the link from one member to another, or makes it whole.
+func (s *Sim) Cut(from, to int, on bool) {
+	if on {
+		s.cut[[2]int{from, to}] = true
+	} else {
+		delete(s.cut, [2]int{from, to})
+	}
+}
+
+// Heal makes all links whole, and takes loss and delay away.
+func (s *Sim) Heal() {
+	clear(s.cut)
+	s.o.Loss, s.o.Double, s.o.Jitter = 0, 0, 0
+}
+
+// IsCut tells whether a link is cut.
+func (s *Sim) IsCut(from, to int) bool { return s.cut[[2]int{from, to}] }
+
+// Impair sets what every link does.
+func (s *Sim) Impair(loss float64, jitter time.Duration, double float64) {
+	s.o.Loss, s.o.Jitter, s.o.Double = loss, jitter, double
+}
+
+// Count begins a new account of traffic.
+func (s *Sim) Count() { s.Sent, s.Bytes, s.Largest, s.counted = 0, 0, 0, true }
+
+func (s *Sim) at(in time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now + in, s.seq, do})
+}
+
+// Run plays on for a span.
+func (s *Sim) Run(span time.Duration) {
+	end := s.now + span
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// carry takes what a core wants sent.
+func (s *Sim) carry(i int) {
+	n := s.nodes[i]
+	out, notes := n.Core.Take()
+	n.Notes = append(n.Notes, notes...)
+	for _, send := range out {
+		to := index(send.Address)
+		if to < 0 || to >= len(s.nodes) {
+			continue
+		}
+		m := send.Message
+		if s.counted {
+			raw, err := m.MarshalMsg(nil)
+			if err != nil {
+				panic(err) // the core made it
+			}
+			s.Sent, s.Bytes = s.Sent+1, s.Bytes+int64(len(raw))
+			if !send.Stream {
+				s.Largest = max(s.Largest, len(raw))
+			}
+		}
+		if send.Stream { // a connection needs both ways, and loses nothing
+			if m.Kind == members.Full && !s.IsCut(i, to) && !s.IsCut(to, i) || m.Kind == members.FullReply {
+				s.deliver(to, m, 3*s.o.Delay+s.jitter())
+			}
+			continue
+		}
+		if s.IsCut(i, to) || s.rng.Float64() < s.o.Loss {
+			continue
+		}
+		s.deliver(to, m, s.o.Delay+s.jitter())
+		if s.rng.Float64() < s.o.Double {
+			s.deliver(to, m, s.o.Delay+s.jitter())
+		}
+	}
+}
+
+func (s *Sim) jitter() time.Duration {
+	if s.o.Jitter == 0 {
+		return 0
+	}
+	return time.Duration(s.rng.Int64N(int64(s.o.Jitter)))
+}
+
+func (s *Sim) deliver(to int, m members.Message, in time.Duration) {
+	m.News = slices.Clone(m.News)
+	s.at(in, func() {
+		n := s.nodes[to]
+		if n.up {
+			process := n.process
+			s.hand(to, func() {
+				if n.process == process {
+					n.Core.Receive(s.local(to), &m)
+				}
+			})
+		}
+	})
+}
+
+// Views are the views of those that run.
+func (s *Sim) Views() map[int]members.View {
+	out := map[int]members.View{}
+	for i, n := range s.nodes {
+		if s.Up(i) {
+			out[i] = n.Core.View()
+		}
+	}
+	return out
+}
+
+// Agreed tells whether all that run hold exactly those that run.
+func (s *Sim) Agreed() bool {
+	var want []string
+	for i := range s.nodes {
+		if s.Up(i) {
+			want = append(want, name(i))
+		}
+	}
+	for _, v := range s.Views() {
+		if !slices.Equal(v.Members, want) {
+			return false
+		}
+	}
+	return true
+}
+
+// Holds tells whether a member's view holds another.
+func (s *Sim) Holds(i, j int) bool { return slices.Contains(s.nodes[i].Core.View().Members, name(j)) }
