The rig of members: a mesh in scenarios, faults of links, an auditor of views; shares, pure

Need: each piece is to be proved by processes with faults between them. lab/scenario has [mesh] and the faults cut, loss, delay, duplicate, reorder and disk-lost; lab/experiment asks every process for its view each 50 ms; lab/audit judges them against what was really cut, stopped and killed, and a record spoiled in each of five ways is found under its rule. internal/shares divides what all may use together in units with guards and leases; not wired yet.

--- a/cmd/tacklab/run.go
+++ b/cmd/tacklab/run.go
@@ -155,6 +155,10 @@
 	if f.Recovered != nil {
 		out += fmt.Sprintf(" recovered-after %.1fs", *f.Recovered)
 	}
+	if m := r.Members; m != nil {
+		out += fmt.Sprintf(" members: %d samples, noticed within %.1fs, healed in %.1fs, %d views, shares %.3f, mesh %.0f B/s, %.3f cores at most",
+			m.Samples, m.Noticed, m.Healed, m.Views, m.Shares, f.MeshBytes, f.MostCPU)
+	}
 	return out
 }
 
--- a/lab/bank/bank.go
+++ b/lab/bank/bank.go
@@ -59,12 +59,14 @@
 	index int
 	addr  string
 	env   []string
+	disk  string // its own folder, with a mesh
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	done     chan struct{}
 	wanted   bool // an end of the process is not a crash
 	outages  []audit.Outage
+	downs    []audit.Down // of its processes, planned ones too
 	crashes  int
 	excluded map[string]bool
 	log      bytes.Buffer
@@ -124,6 +126,13 @@
 	if b.o.Edge != nil {
 		n.env = append(n.env, "TACKHUB_EDGE="+b.o.Edge(i))
 	}
+	if b.o.Scenario.Mesh != nil { // a folder of its own, as on a machine of its own
+		n.disk = b.Disk(i)
+		if err := os.MkdirAll(n.disk, 0o700); err != nil {
+			return nil, err
+		}
+		n.env = append(n.env, "TMPDIR="+n.disk)
+	}
 	b.nodes = append(b.nodes, n)
 	return n, nil
 }
@@ -190,7 +199,36 @@
 	clear(n.excluded)
 	n.mu.Unlock()
 	go n.follow(cmd, stderr, done)
-	return n.healthy(done)
+	err = n.healthy(done)
+	n.down(false, false)
+	return err
+}
+
+// down notes that there is no process any more, or that it stands still; or that there is one again and it goes on.
+func (n *Node) down(begins, stopped bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	last := len(n.downs) - 1
+	switch open := last >= 0 && n.downs[last].To == forEver; {
+	case begins && !open:
+		n.downs = append(n.downs, audit.Down{Node: n.index, From: n.b.at(), To: forEver, Stopped: stopped})
+	case !begins && open:
+		n.downs[last].To = n.b.at()
+	}
+}
+
+// forEver is the end of what has not ended yet.
+const forEver = time.Duration(1<<63 - 1)
+
+// Downs are the times in which nodes had no process, or one that stood still.
+func (b *Bank) Downs() []audit.Down {
+	var out []audit.Down
+	for _, n := range b.nodes {
+		n.mu.Lock()
+		out = append(out, n.downs...)
+		n.mu.Unlock()
+	}
+	return out
 }
 
 // parents holds a thread that never ends: the kernel sends a process its parent's death when the thread that started
@@ -318,15 +356,25 @@
 
 func (b *Bank) at() time.Duration { return time.Since(b.o.Start) }
 
+// Disk is the folder of a node's own, where the scenario has a mesh.
+func (b *Bank) Disk(node int) string { return filepath.Join(b.dir, "t"+strconv.Itoa(node)) }
+
 // Apply carries out a fault at a node, or ends it.
 func (b *Bank) Apply(e scenario.Event) error {
 	n := b.nodes[e.Node]
 	switch {
+	case e.Kind == "disk-lost" && !e.Ends:
+		n.outage(true)
+		return errors.Join(n.kill(), os.RemoveAll(n.disk))
 	case e.Kind == "node-kill" && !e.Ends:
 		n.outage(true)
 		return n.kill()
-	case e.Kind == "node-kill":
-		err := n.start()
+	case e.Kind == "node-kill" || e.Kind == "disk-lost":
+		var err error
+		if n.disk != "" {
+			err = os.MkdirAll(n.disk, 0o700)
+		}
+		err = errors.Join(err, n.start())
 		n.outage(false)
 		return err
 	case e.Kind == "node-stop" && !e.Ends:
@@ -361,6 +409,14 @@
 }
 
 func (n *Node) signal(sig syscall.Signal) error {
+	switch sig {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		n.down(true, false)
+	case syscall.SIGSTOP:
+		n.down(true, true)
+	case syscall.SIGCONT:
+		n.down(false, false)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.wanted = n.wanted || sig == syscall.SIGKILL || sig == syscall.SIGTERM
--- a/lab/experiment/figures.go
+++ b/lab/experiment/figures.go
@@ -41,6 +41,8 @@
 	Crashes     int                `json:"crashes"`     // of nodes, that nobody asked for
 	Recovered   *float64           `json:"recovered_after_s,omitempty"`
 	Skew        float64            `json:"clock_skew_ms"`
+	MeshBytes   float64            `json:"mesh_bytes_per_s,omitempty"` // sent to other nodes, the most of any
+	MostCPU     float64            `json:"cpu_cores_max,omitempty"`    // of any node, with a mesh
 }
 
 // Second is one second of a run.
@@ -244,6 +246,12 @@
 			say(*f.Recovered > e.Recover.Within.Seconds(), "back after %.1f s, within %.1f s wanted", *f.Recovered, e.Recover.Within.Seconds())
 		}
 	}
+	if e.Mesh != nil && e.Mesh.Bytes > 0 {
+		say(f.MeshBytes > e.Mesh.Bytes, "%.0f bytes a second to other nodes, at most %.0f wanted", f.MeshBytes, e.Mesh.Bytes)
+	}
+	if e.Mesh != nil && e.Mesh.Cores > 0 {
+		say(f.MostCPU > e.Mesh.Cores, "%.4f cores at some node, at most %.4f wanted", f.MostCPU, e.Mesh.Cores)
+	}
 	say(f.Crashes > 0, "%d nodes crashed", f.Crashes)
 	return out
 }
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -75,26 +75,27 @@
 
 // Result is a whole run.
 type Result struct {
-	Scenario  string         `json:"scenario"`
-	About     string         `json:"about"`
-	Verdict   string         `json:"verdict"`
-	Short     []string       `json:"short,omitempty"`
-	Void      string         `json:"void,omitempty"`
-	Breaches  []audit.Breach `json:"breaches,omitempty"`
-	BreachesN map[string]int `json:"breaches_by_rule,omitempty"`
-	Figures   Figures        `json:"figures"`
-	Seconds   []Second       `json:"seconds"`
-	Marks     []Mark         `json:"marks"`
-	Nodes     []bank.Report  `json:"nodes"`
-	Servers   [][]fleet.Load `json:"servers"`                   // by half second
-	Files     map[string]int `json:"inventory_files,omitempty"` // rewritten well and badly, over all nodes
-	Seed      uint64         `json:"seed"`
-	Schedule  string         `json:"schedule"` // its hash
-	Build     string         `json:"build"`
-	Machine   string         `json:"machine"`
-	When      time.Time      `json:"when"`
-	Took      float64        `json:"took_s"`
-	Logs      []string       `json:"-"`
+	Scenario  string               `json:"scenario"`
+	About     string               `json:"about"`
+	Verdict   string               `json:"verdict"`
+	Short     []string             `json:"short,omitempty"`
+	Void      string               `json:"void,omitempty"`
+	Breaches  []audit.Breach       `json:"breaches,omitempty"`
+	BreachesN map[string]int       `json:"breaches_by_rule,omitempty"`
+	Figures   Figures              `json:"figures"`
+	Seconds   []Second             `json:"seconds"`
+	Marks     []Mark               `json:"marks"`
+	Nodes     []bank.Report        `json:"nodes"`
+	Servers   [][]fleet.Load       `json:"servers"` // by half second
+	Members   *audit.MemberFigures `json:"members,omitempty"`
+	Files     map[string]int       `json:"inventory_files,omitempty"` // rewritten well and badly, over all nodes
+	Seed      uint64               `json:"seed"`
+	Schedule  string               `json:"schedule"` // its hash
+	Build     string               `json:"build"`
+	Machine   string               `json:"machine"`
+	When      time.Time            `json:"when"`
+	Took      float64              `json:"took_s"`
+	Logs      []string             `json:"-"`
 }
 
 // Run plays a scenario. The error says that it could not be run at all.
@@ -137,15 +138,20 @@
 // edges write the nodes' operator files, where the scenario turns subsystems on.
 func (r *run) edges() (edge func(int) string, clean func(), err error) {
 	s := r.o.Scenario
-	if s.Inventory == nil && s.Clients.Coap == 0 {
+	if s.Inventory == nil && s.Clients.Coap == 0 && s.Mesh == nil {
 		return nil, func() {}, nil
 	}
 	dir, err := os.MkdirTemp("", "tacklab-edge")
 	if err != nil {
 		return nil, nil, err
 	}
-	clean = func() { _ = os.RemoveAll(dir) }
-	if err = r.writeEdges(dir); err != nil {
+	clean = func() {
+		_ = os.RemoveAll(dir)
+		if r.mesh != nil {
+			r.mesh.links.Close()
+		}
+	}
+	if err = errors.Join(r.writeEdges(dir), r.weave(dir)); err != nil {
 		clean()
 		return nil, nil, err
 	}
@@ -191,6 +197,8 @@
 
 	coap   []string      // the nodes' CoAP addresses
 	writer *fleet.Writer // nil: discovery alone lists the servers
+	mesh   *meshed       // nil: the nodes do not know of one another
+	ended  time.Duration // the last moment that is judged
 
 	mu      sync.Mutex
 	marks   []Mark
@@ -207,11 +215,19 @@
 	beside.Go(func() { r.faults(ctx) })
 	done := make(chan struct{})
 	beside.Go(func() { r.measure(done) })
+	if r.mesh != nil {
+		beside.Go(func() { r.watchMembers(done) })
+		r.account(false)
+	}
 	var written error
 	if r.writer != nil {
 		beside.Go(func() { written = r.writer.Run(ctx) })
 	}
 	err := r.load.Run(ctx)
+	if r.mesh != nil {
+		r.account(true)
+	}
+	r.ended = time.Since(r.start)
 	close(done)
 	cancel()
 	beside.Wait()
@@ -243,7 +259,10 @@
 
 func (r *run) apply(e scenario.Event) error {
 	switch {
-	case strings.HasPrefix(e.Kind, "node-"):
+	case scenario.OfLink(e.Kind):
+		r.mesh.apply(e, time.Since(r.start))
+		return nil
+	case strings.HasPrefix(e.Kind, "node-") || e.Kind == "disk-lost":
 		return r.bank.Apply(e)
 	case strings.HasPrefix(e.Kind, "clients-"):
 		r.load.Apply(e)
@@ -264,6 +283,9 @@
 	if e.Server < 0 {
 		target = fmt.Sprintf("n%d", e.Node)
 	}
+	if e.Peer >= 0 {
+		target += fmt.Sprintf(">n%d", e.Peer)
+	}
 	if e.Ends {
 		what += " ends"
 	}
@@ -338,6 +360,9 @@
 	out.Figures, out.Seconds, out.Marks, out.Servers = figures(s, ops), seconds(s, ops), r.marks, r.servers
 	out.Nodes = r.bank.Reports()
 	r.costs(&out.Figures, out.Nodes)
+	if r.mesh != nil {
+		r.judgeMembers(out)
+	}
 	if e := s.Expect.Recover; e != nil {
 		if d, ok := recovered(s, ops, *e); ok {
 			sec := d.Seconds()
--- /dev/null
+++ b/lab/scenario/mesh.go
@@ -0,0 +1,152 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Mesh makes the nodes a cluster, with a link of its own for each directed pair. Spans of 0 are the program's defaults.
+type Mesh struct {
+	Period    time.Duration `toml:"period"`
+	Timeout   time.Duration `toml:"timeout"`
+	Suspicion time.Duration `toml:"suspicion"`
+	Shares    bool          `toml:"shares"` // of what the whole fleet may use together
+}
+
+// MeshExpect is what the views must show.
+type MeshExpect struct {
+	Notice time.Duration `toml:"notice"`      // who is gone, or cannot be heard on any way, is out of every view within it
+	Heal   time.Duration `toml:"heal"`        // after the last fault all hold the same view within it
+	Bytes  float64       `toml:"bytes_max"`   // a second, sent by any node on the mesh
+	Cores  float64       `toml:"cpu_max"`     // of any node
+	Uneven bool          `toml:"uneven_only"` // nothing is asked of members that only some can hear
+}
+
+// linkKinds are the faults of the mesh's links.
+var linkKinds = []string{"cut", "loss", "delay", "duplicate", "reorder"}
+
+// OfLink tells whether a kind of fault concerns the mesh's links.
+func OfLink(kind string) bool { return slices.Contains(linkKinds, kind) }
+
+// checkMesh names the first thing about the mesh that cannot be.
+func (s *Scenario) checkMesh() error {
+	if s.Mesh == nil && s.Expect.Mesh != nil {
+		return fmt.Errorf("expect.mesh needs a [mesh]")
+	}
+	if m := s.Mesh; m != nil {
+		switch {
+		case s.Nodes.Kind != "tackhub" || s.Nodes.Edge != "":
+			return fmt.Errorf("mesh: it needs nodes of kind tackhub, and writes their operator files itself")
+		case s.Nodes.Count < 2:
+			return fmt.Errorf("mesh: one node has nobody to talk to")
+		case m.Period < 0 || m.Timeout < 0 || m.Suspicion < 0:
+			return fmt.Errorf("mesh: spans must not be negative")
+		}
+	}
+	for i, f := range s.Faults {
+		of := OfLink(f.Kind)
+		switch {
+		case !of && f.Kind != "disk-lost":
+		case s.Mesh == nil:
+			return fmt.Errorf("fault[%d].kind %s needs a [mesh]", i, f.Kind)
+		case (f.Kind == "loss" || f.Kind == "duplicate" || f.Kind == "reorder") && (f.Share <= 0 || f.Share > 1):
+			return fmt.Errorf("fault[%d].share must be above 0 and at most 1", i)
+		case (f.Kind == "delay" || f.Kind == "reorder") && f.Delay <= 0 && f.Jitter <= 0:
+			return fmt.Errorf("fault[%d] needs a delay or a jitter", i)
+		}
+	}
+	return nil
+}
+
+// links are the directed pairs of nodes that a target names: all, a share of all ("25%"), half (the first half of the nodes
+// and the second do not hear each other), ring (each node to the next), or sets of nodes, "node:0->node:3", "zone:a<->zone:b",
+// "node:2->rest".
+func (s *Scenario) links(target string, rng *rand.Rand) ([][2]int, error) {
+	n := s.Nodes.Count
+	var every [][2]int
+	for i := range n {
+		for j := range n {
+			if i != j {
+				every = append(every, [2]int{i, j})
+			}
+		}
+	}
+	keep := func(fits func(p [2]int) bool) []([2]int) {
+		return slices.DeleteFunc(slices.Clone(every), func(p [2]int) bool { return !fits(p) })
+	}
+	switch {
+	case target == "" || target == "all":
+		return every, nil
+	case target == "half":
+		return keep(func(p [2]int) bool { return (p[0] < n/2) != (p[1] < n/2) }), nil
+	case target == "ring":
+		return keep(func(p [2]int) bool { return p[1] == (p[0]+1)%n }), nil
+	}
+	from, to, both := strings.Cut(target, "<->")
+	if !both {
+		var one bool
+		if from, to, one = strings.Cut(target, "->"); !one {
+			k, err := count(target, len(every))
+			if err != nil {
+				return nil, fmt.Errorf("%q is no link: all, half, ring, a share, or sets of nodes such as node:0->node:3", target)
+			}
+			if rng != nil {
+				rng.Shuffle(len(every), func(i, j int) { every[i], every[j] = every[j], every[i] })
+			}
+			return every[:k], nil
+		}
+	}
+	a, err := s.nodeSet(from)
+	if err != nil {
+		return nil, err
+	}
+	b, err := s.nodeSet(to)
+	if err != nil {
+		return nil, err
+	}
+	if to == "rest" {
+		b = slices.DeleteFunc(span(n), func(i int) bool { return slices.Contains(a, i) })
+	}
+	if from == "rest" {
+		a = slices.DeleteFunc(span(n), func(i int) bool { return slices.Contains(b, i) })
+	}
+	out := keep(func(p [2]int) bool {
+		return slices.Contains(a, p[0]) && slices.Contains(b, p[1]) || both && slices.Contains(a, p[1]) && slices.Contains(b, p[0])
+	})
+	if len(out) == 0 {
+		return nil, fmt.Errorf("%q names no link", target)
+	}
+	return out, nil
+}
+
+// nodeSet are the nodes of one side of a link; rest is worked out by whoever knows the other side.
+func (s *Scenario) nodeSet(text string) ([]int, error) {
+	what, name, _ := strings.Cut(text, ":")
+	switch what {
+	case "rest":
+		return nil, nil
+	case "all":
+		return span(s.Nodes.Count), nil
+	case "node":
+		i, err := strconv.Atoi(name)
+		if err != nil || i < 0 || i >= s.Nodes.Count {
+			return nil, fmt.Errorf("%q is no node of %d", text, s.Nodes.Count)
+		}
+		return []int{i}, nil
+	case "zone":
+		var out []int
+		for i := range s.Nodes.Count {
+			if s.NodeZone(i) == name {
+				out = append(out, i)
+			}
+		}
+		if len(out) > 0 {
+			return out, nil
+		}
+	}
+	return nil, fmt.Errorf("%q is no set of nodes: node:N, zone:Z, all or rest", text)
+}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -31,6 +31,7 @@
 	Expect   Expect        `toml:"expect"`
 
 	Inventory *Inventory `toml:"inventory"` // nil: discovery alone lists the servers
+	Mesh      *Mesh      `toml:"mesh"`      // nil: the nodes do not know of one another
 }
 
 // Inventory lists the servers in a file for each node, which a tool rewrites well and badly. Discovery is not used then.
@@ -131,9 +132,10 @@
 	Target string        `toml:"target"` // "25%", "3" servers, "zone:b", "server:s004", "node:0", "all"
 	Over   time.Duration `toml:"over"`   // the targets are hit one by one over this span
 	Times  float64       `toml:"times"`  // slow
-	Share  float64       `toml:"share"`  // errors
+	Share  float64       `toml:"share"`  // errors; loss, duplicate and reorder on a link
 	NewID  bool          `toml:"new_id"` // what comes back has another id
-	Delay  time.Duration `toml:"delay"`  // discovery
+	Delay  time.Duration `toml:"delay"`  // discovery; delay and reorder on a link
+	Jitter time.Duration `toml:"jitter"` // delay on a link: added evenly between 0 and it
 	Way    string        `toml:"way"`    // of a stall: both, up (to the node or server) or down; empty: both
 }
 
@@ -165,6 +167,7 @@
 	MemoryMB   *float64       `toml:"memory_mb_max"` // of any node
 	Sockets    *int           `toml:"sockets_max"`
 	Recover    *Recover       `toml:"recover"`
+	Mesh       *MeshExpect    `toml:"mesh"`
 }
 
 // Recover asks that worth be back at a share within a time of a moment, and stay there for a window.
@@ -258,7 +261,7 @@
 	// FaultKinds are the faults a scenario can name.
 	FaultKinds = []string{"crash", "vanish", "hang", "slow", "errors", "drain", "cold-return", "node-kill", "node-stop",
 		"node-restart", "discovery-down", "discovery-stale", "discovery-wrong", "clients-stall", "clients-reset", "clients-half-close",
-		"servers-stall", "servers-reset", "reports-off"}
+		"servers-stall", "servers-reset", "reports-off", "disk-lost", "cut", "loss", "delay", "duplicate", "reorder"}
 
 	// Defects are what a baseline can be broken by, to try the auditor.
 	Defects = []string{"", "double-send", "lost-answer", "late-drain", "swapped-answer", "late-answer", "cold-push", "refuse-run"}
@@ -311,6 +314,9 @@
 			return fmt.Errorf("link.%s: a loss of 0 to 1, no negative figure, and a direction of both, up or down are needed", name)
 		}
 	}
+	if err := s.checkMesh(); err != nil {
+		return err
+	}
 	if err := s.checkClasses(); err != nil {
 		return err
 	}
--- a/lab/scenario/schedule.go
+++ b/lab/scenario/schedule.go
@@ -31,6 +31,7 @@
 	Ends   bool
 	Server int // -1: not a server
 	Node   int // -1: not a node
+	Peer   int // of a link from Node to it; -1: not a link
 	Fault  Fault
 }
 
@@ -185,26 +186,36 @@
 
 // targets are the events of one fault. Without chance it only checks.
 func (s *Scenario) targets(f Fault, rng *rand.Rand) ([]Event, error) {
-	servers, nodes, err := s.named(f, rng)
-	if err != nil {
-		return nil, err
-	}
 	var out []Event
-	hit := func(i, of, server, node int) {
+	hit := func(i, of, server, node, peer int) {
 		at := f.At
 		if of > 1 {
 			at += f.Over * time.Duration(i) / time.Duration(of)
 		}
-		out = append(out, Event{At: at, Kind: f.Kind, Server: server, Node: node, Fault: f})
+		out = append(out, Event{At: at, Kind: f.Kind, Server: server, Node: node, Peer: peer, Fault: f})
 		if f.For > 0 {
-			out = append(out, Event{At: at + f.For, Kind: f.Kind, Ends: true, Server: server, Node: node, Fault: f})
+			out = append(out, Event{At: at + f.For, Kind: f.Kind, Ends: true, Server: server, Node: node, Peer: peer, Fault: f})
+		}
+	}
+	if OfLink(f.Kind) {
+		links, err := s.links(f.Target, rng)
+		if err != nil {
+			return nil, err
 		}
+		for i, l := range links {
+			hit(i, len(links), -1, l[0], l[1])
+		}
+		return out, nil
+	}
+	servers, nodes, err := s.named(f, rng)
+	if err != nil {
+		return nil, err
 	}
 	for i, server := range servers {
-		hit(i, len(servers), server, -1)
+		hit(i, len(servers), server, -1, -1)
 	}
 	for i, node := range nodes {
-		hit(i, len(nodes), -1, node)
+		hit(i, len(nodes), -1, node, -1)
 	}
 	return out, nil
 }
@@ -212,7 +223,7 @@
 // named are the servers and nodes that a target names.
 func (s *Scenario) named(f Fault, rng *rand.Rand) (servers, nodes []int, err error) {
 	what, name, _ := strings.Cut(f.Target, ":")
-	ofNode := strings.HasPrefix(f.Kind, "node-") || strings.HasPrefix(f.Kind, "discovery-") || strings.HasPrefix(f.Kind, "clients-")
+	ofNode := f.Kind == "disk-lost" || strings.HasPrefix(f.Kind, "node-") || strings.HasPrefix(f.Kind, "discovery-") || strings.HasPrefix(f.Kind, "clients-")
 	if ofNode {
 		switch {
 		case f.Target == "" || f.Target == "all":
@@ -224,7 +235,15 @@
 			}
 			return nil, []int{n}, nil
 		}
-		return nil, nil, fmt.Errorf("%q: a fault of kind %s needs node:N or all", f.Target, f.Kind)
+		n, err := count(f.Target, s.Nodes.Count)
+		if err != nil {
+			return nil, nil, fmt.Errorf("%q: a fault of kind %s needs node:N, all, or a number or share of the nodes", f.Target, f.Kind)
+		}
+		nodes = span(s.Nodes.Count)
+		if rng != nil {
+			rng.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+		}
+		return nil, nodes[:n], nil
 	}
 	all := span(s.Fleet.Servers)
 	switch {
@@ -298,7 +317,7 @@
 		}
 	}
 	for _, e := range s.Events {
-		out = fmt.Appendf(out, "%d %s %v %d %d %+v\n", e.At, e.Kind, e.Ends, e.Server, e.Node, e.Fault)
+		out = fmt.Appendf(out, "%d %s %v %d %d %d %+v\n", e.At, e.Kind, e.Ends, e.Server, e.Node, e.Peer, e.Fault)
 	}
 	for _, v := range s.Speeds {
 		out = binary.BigEndian.AppendUint64(out, math.Float64bits(v))
