An upgrade stays the same member; module messages go over the cluster's link; names, versions, seeds

Need: a process that takes over must be the same member without a false leave, and the module's messages belong on one link. A process that takes over waits for the address, and the one before it leaves without a goodbye; whoever took no upgrade over is refused at its start. Before: a second process beside one with [cluster] on could not be started.

--- a/cmd/tackhub/cluster_test.go
+++ b/cmd/tackhub/cluster_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"tackhub.example/tackhub/internal/cluster"
 	swim "tackhub.example/tackhub/internal/members"
@@ -20,6 +24,10 @@
 	links *mesh.Mesh
 	nodes []*process
 	start func(i int) *process
+	setup func(i int) setup
+
+	listens   []string
+	discovery string
 }
 
 // startBank starts n members named m0, m1 and so on; the first two are the seeds.
@@ -40,8 +48,8 @@
 	}
 	t.Cleanup(links.Close)
 	d := startDiscovery(t, nil)
-	b := &bank{t: t, dir: dir, links: links}
-	b.start = func(i int) *process {
+	b := &bank{t: t, dir: dir, links: links, listens: listens, discovery: d.addr}
+	b.setup = func(i int) setup {
 		edge := filepath.Join(dir, fmt.Sprintf("m%d.toml", i))
 		text := fmt.Sprintf("[cluster]\nname = \"m%d\"\nlisten = %q\n", i, listens[i])
 		seeds, book := []string{}, []string{}
@@ -56,8 +64,9 @@
 		}
 		text += "seeds = [" + strings.Join(seeds, ", ") + "]\naddresses = { " + strings.Join(book, ", ") + " }\n"
 		writeFile(t, edge, text)
-		return startNode(t, setup{discovery: d.addr, env: []string{"TACKHUB_EDGE=" + edge, "TMPDIR=" + dir}})
+		return setup{discovery: d.addr, env: []string{"TACKHUB_EDGE=" + edge, "TMPDIR=" + dir}}
 	}
+	b.start = func(i int) *process { return startNode(t, b.setup(i)) }
 	for i := range n {
 		b.nodes = append(b.nodes, b.start(i))
 	}
@@ -122,3 +131,149 @@
 		return len(m) == 1 && m[0].State == swim.Left
 	})
 }
+
+// An upgrade is the same member: the next process waits for the address, and nobody else's view ever lacks the member.
+func TestUpgradeOfAMember(t *testing.T) {
+	t.Parallel()
+	b := startBank(t, 2)
+	b.views("both to meet", []int{0, 1}, "m0", "m1")
+	before, watching, stop := b.status(0).Start, make(chan bool), make(chan struct{})
+	go func() { // until the upgrade is over
+		lost := false
+		for {
+			select {
+			case <-stop:
+				watching <- lost
+				return
+			default:
+				v := b.status(1).View.Members
+				lost = lost || len(v) == 1
+			}
+		}
+	}()
+	next := launch(t, b.nodes[0].addr, b.setup(0))
+	eventually(t, "the next process to wait for the address", func() bool { return strings.Contains(next.log.String(), "cluster_waits") })
+	eventually(t, "it to serve beside the old one", func() bool { return strings.Contains(next.log.String(), `"code":"handover"`) })
+	b.nodes[0].terminate()
+	if code := b.nodes[0].exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	eventually(t, "m1 to hear of the next process", func() bool {
+		m := b.status(1).Members
+		return len(m) == 1 && m[0].Start > before && m[0].State == swim.Alive
+	})
+	close(stop)
+	if <-watching {
+		t.Error("m1's view lacked m0 during its upgrade")
+	}
+	b.views("both still there", []int{0, 1}, "m0", "m1")
+}
+
+// Two processes of one name: on one machine the second is refused with a line that says so; elsewhere the later one wins
+// and the earlier says that it takes no part any more.
+func TestTwoMembersOfOneName(t *testing.T) {
+	t.Parallel()
+	b := startBank(t, 2)
+	b.views("both to meet", []int{0, 1}, "m0", "m1")
+	s := b.setup(0)
+	s.discovery = b.discovery
+	out, code := tackhub(t, append(environment(t, freeAddress(t), s), s.env...))
+	if code != 1 || !strings.Contains(out, "address already in use") || !strings.Contains(out, "[cluster]") {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+	dir, err := os.MkdirTemp("", "th")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	edge := filepath.Join(dir, "edge.toml")
+	writeFile(t, edge, fmt.Sprintf("[cluster]\nname = \"m0\"\nlisten = %q\nseeds = [%q]\n", freeAddress(t), b.links.Address(0, 1)))
+	second := startNode(t, setup{discovery: b.discovery, env: []string{"TACKHUB_EDGE=" + edge, "TMPDIR=" + dir}})
+	eventually(t, "the first to say so", func() bool { return strings.Contains(b.nodes[0].log.String(), "cluster_outdated") })
+	eventually(t, "it to hold itself for outdated", func() bool { return b.status(0).Condition == swim.Outdated })
+	eventually(t, "m1 to hold the second", func() bool {
+		m := b.status(1).Members
+		return len(m) == 1 && m[0].Former > 0 && m[0].State == swim.Alive
+	})
+	if strings.Contains(second.log.String(), "cluster_outdated") {
+		t.Error("both hold themselves for outdated")
+	}
+}
+
+// Members of another version of the wire form, and of another cluster: what is not known is passed over, what is foreign dropped.
+func TestOtherVersionsAndClusters(t *testing.T) {
+	t.Parallel()
+	b := startBank(t, 1)
+	conn, err := net.Dial("udp", b.listens[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	say := func(m swim.Message, more ...byte) {
+		raw, err := m.MarshalMsg(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(more) > 0 {
+			raw[0]++ // one more key in the map
+		}
+		_, _ = conn.Write(append(raw, more...))
+	}
+	name := uint32(xxhash.Sum64String("tackhub"))
+	later := swim.Message{Kind: swim.Ping, Version: 9, Cluster: name, From: "x9", Start: 1, Address: conn.LocalAddr().String(), Seq: 7}
+	say(later, 0xa2, 'z', 'z', 0x92, 1, 2) // "zz": [1, 2]
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	buf, reply := make([]byte, 1500), swim.Message{}
+	for reply.Kind != swim.Ack {
+		n, err := conn.Read(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := reply.UnmarshalMsg(buf[:n]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if reply.Seq != 7 || reply.Version != swim.WireVersion {
+		t.Errorf("answered %+v", reply)
+	}
+	later.Least, later.From = 9, "x8" // a version that this one would misunderstand
+	say(later)
+	say(swim.Message{Kind: swim.Ping, Version: 1, Cluster: name + 1, From: "x7", Start: 1, Address: "127.0.0.1:9"})
+	_, _ = conn.Write([]byte("no message"))
+	eventually(t, "the drops to be counted", func() bool {
+		drops := b.nodes[0].counts().Cluster.Drops
+		return drops["version"] == 1 && drops["other_cluster"] == 1 && drops["malformed"] == 1
+	})
+	if m := b.status(0).Members; len(m) != 1 || m[0].Name != "x9" {
+		t.Errorf("members %+v", m)
+	}
+}
+
+// Seeds that are all down keep nobody from serving; once one is there it is found.
+func TestSeedsDownAtTheStart(t *testing.T) {
+	t.Parallel()
+	b := startBank(t, 2)
+	b.views("both to meet", []int{0, 1}, "m0", "m1")
+	for _, n := range b.nodes {
+		n.terminate()
+		n.exit()
+	}
+	b.nodes[0] = b.start(0)
+	eventually(t, "it to go on alone", func() bool { s := b.status(0); return s.State == swim.Alive && s.Condition == swim.Alone })
+	b.nodes[1] = b.start(1)
+	b.views("both to meet again", []int{0, 1}, "m0", "m1")
+}
+
+// Bad options are refused with file, line and key, and a start with them fails.
+func TestClusterOptionsAreChecked(t *testing.T) {
+	edge := filepath.Join(t.TempDir(), "edge.toml")
+	writeFile(t, edge, "[cluster]\nlisten = \"0.0.0.0:7946\"\nseeds = [\"here\"]\nperiod = \"1s\"\ntimeout = \"2s\"\nsuspicion = \"3s\"\nlease = \"1s\"\n"+
+		"accept = [\"10/8\"]\nname = \"a b\"\nshares = { n0 = \"x\" }\n")
+	out, code := tackhub(t, environment(t, "127.0.0.1:8081", setup{discovery: "127.0.0.1:8500"}), "check", "--edge", edge)
+	for _, want := range []string{"cluster.advertise", ":3: cluster.seeds", ":5: cluster.timeout", ":6: cluster.suspicion", ":7: cluster.lease",
+		":8: cluster.accept", ":9: cluster.name", "cluster.shares"} {
+		if code != 1 || !strings.Contains(out, want) {
+			t.Errorf("exit code %d, no %q in\n%s", code, want, out)
+		}
+	}
+}
--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -329,7 +329,10 @@
 		Steps  int            `json:"steps"`
 		Differ map[string]int `json:"differ"`
 	} `json:"watch"`
-	Peers struct{ Sent, Taken int } `json:"peers"`
+	Peers   struct{ Sent, Taken int } `json:"peers"`
+	Cluster struct {
+		Drops map[string]int `json:"drops"`
+	} `json:"cluster"`
 }
 
 // addUp checks that every request taken has one ending.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,9 +27,19 @@
 	Clock() clock.Clock
 	// SetShare tells the module what it may use of the whole fleet's; with heeded it returns once that is in force.
 	SetShare(share logic.Share, heeded bool)
+	// TookOver tells whether another process of this node ran when this one started, Succeeded whether one takes over now.
+	TookOver() bool
+	Succeeded() bool
+	// Carry has the module's messages to other nodes go over the link, and with nil no longer; Hear takes theirs.
+	Carry(Teller)
+	Hear(logic.Told)
+	Number() int
 	Counters() *counters.Counters
 }
 
+// Teller passes the module's messages on. It does not wait.
+type Teller interface{ Tell(body []byte) }
+
 const (
 	// ticksEach period the core is called: its own sign of a standstill is a gap of one and a half periods.
 	ticksEach = 5
@@ -46,6 +57,12 @@
 	// seconds with one member, and with each that has been found again.
 	streams, streamTime = 8, 2 * time.Second
 
+	// bindAgain is how often a process that takes over tries to get the address, while the one before it still has it.
+	bindAgain = 50 * time.Millisecond
+
+	// wordsWaiting bounds the module's messages that wait for the core's owner.
+	wordsWaiting = 64
+
 	// againAfter the goodbye is said twice, since the first may be lost.
 	againAfter = 50 * time.Millisecond
 )
@@ -68,6 +85,7 @@
 
 	inbox   chan inbound
 	asks    chan func()
+	words   chan []byte     // the module's
 	slots   chan struct{}   // outgoing streams
 	calls   chan struct{}   // incoming ones
 	running context.Context // while it runs, for what I/O it begins
@@ -92,7 +110,7 @@
 		return nil, errors.New("it cannot be changed while it runs: turn it off by one SIGHUP and on by another, or restart the node")
 	}
 	l := &link{o: o, node: node, name: o.Name, log: host.Log, count: &node.Counters().Cluster, base: time.Now(), to: map[string]netip.AddrPort{},
-		inbox: make(chan inbound, inboxLen), asks: make(chan func()), slots: make(chan struct{}, streams), calls: make(chan struct{}, streams)}
+		inbox: make(chan inbound, inboxLen), asks: make(chan func()), words: make(chan []byte, wordsWaiting), slots: make(chan struct{}, streams), calls: make(chan struct{}, streams)}
 	if l.name == "" {
 		l.name = node.Name()
 	}
@@ -112,8 +130,8 @@
 	if at, in := o.Shares[l.name]; len(o.Shares) > 0 && (!in || at != address) {
 		return nil, fmt.Errorf("shares: this member is %s at %s, which is not among them", l.name, address)
 	}
-	if err := l.open(); err != nil {
-		return nil, err
+	if err := l.open(); err != nil && !(node.TookOver() && errors.Is(err, syscall.EADDRINUSE)) {
+		return nil, err // but for the process before this one, which still has it
 	}
 	l.fleet = fleetOf(l)
 	start := uint64(l.base.UnixMicro()) // a later process has a higher one, unless the clock was set back: then it is told
@@ -126,23 +144,29 @@
 // open takes the sockets. They are exclusive: a second process of the same member on this machine is refused here.
 func (l *link) open() error {
 	at := netip.MustParseAddrPort(l.o.Listen) // checked
-	var err error
-	if l.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	if l.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at)); err != nil {
-		_ = l.udp.Close()
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	if err != nil {
+		_ = udp.Close()
 		return fmt.Errorf("listen: %w", err)
 	}
-	if l.local, err = openLocal(l); err != nil {
-		_ = l.udp.Close()
-		_ = l.tcp.Close()
+	local, err := openLocal(l)
+	if err != nil {
+		_ = udp.Close()
+		_ = tcp.Close()
 		return err
 	}
+	l.udp, l.tcp, l.local = udp, tcp, local
 	return nil
 }
 
 func (l *link) close() {
+	if l.udp == nil {
+		return
+	}
 	_ = l.udp.Close()
 	_ = l.tcp.Close()
 	l.local.close()
@@ -155,11 +179,41 @@
 func (l *link) Start(ctx context.Context) {
 	ctx, l.stop = context.WithCancel(ctx)
 	l.running = ctx
+	l.fleet.begin(ctx)
+	if l.udp == nil {
+		l.log.Info("waiting for the process before this one to leave the cluster's address", "code", "cluster_waits", "listen", l.o.Listen)
+		l.ending.Go(func() {
+			if l.wait(ctx) {
+				l.work(ctx)
+			}
+		})
+		return
+	}
+	l.work(ctx)
+}
+
+// wait tries until it has the sockets.
+func (l *link) wait(ctx context.Context) bool {
+	tick := time.NewTicker(bindAgain)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return false
+		}
+		if l.open() == nil {
+			return true
+		}
+	}
+}
+
+// work begins to be a member.
+func (l *link) work(ctx context.Context) {
 	context.AfterFunc(ctx, func() { // readers return
 		_ = l.tcp.Close()
 		l.local.close()
 	})
-	l.fleet.begin(ctx)
 	l.ending.Go(func() { l.run(ctx) })
 	l.ending.Go(func() { l.read(ctx) })
 	l.ending.Go(func() { l.answerStreams(ctx) })
@@ -182,6 +236,8 @@
 // run owns the core.
 func (l *link) run(ctx context.Context) {
 	defer func() { _ = l.udp.Close() }()
+	l.node.Carry(l)
+	defer l.node.Carry(nil)
 	tick := time.NewTicker(l.o.Period.Std() / ticksEach)
 	defer tick.Stop()
 	for {
@@ -193,7 +249,12 @@
 			l.hear(in)
 		case ask := <-l.asks:
 			ask()
+		case body := <-l.words:
+			l.core.Everyone(members.Message{Kind: members.Word, Node: uint32(l.node.Number()), Body: body})
 		case <-ctx.Done():
+			if l.node.Succeeded() {
+				return // the member stays: the next process is it
+			}
 			l.core.Leave(l.now())
 			out := l.carry()
 			time.Sleep(againAfter)
@@ -209,6 +270,9 @@
 // hear hands one message to the core. The answer to a full state goes back on its stream and nowhere else.
 func (l *link) hear(in inbound) {
 	l.core.Receive(l.now(), in.m)
+	if in.m.Kind == members.Word && len(in.m.Body) <= logic.MessageMost {
+		l.node.Hear(logic.Told{From: int(in.m.Node), Body: in.m.Body})
+	}
 	l.fleet.hear(in.m)
 	if in.reply == nil {
 		return
@@ -263,6 +327,15 @@
 	}
 }
 
+// Tell passes a message of the module's on to every member in the view.
+func (l *link) Tell(body []byte) {
+	select {
+	case l.words <- body:
+	default:
+		l.drop("words_full")
+	}
+}
+
 // drop counts what is not sent or not taken; the first of each reason is logged.
 func (l *link) drop(reason string) {
 	l.count.Drops.Inc(reason)
@@ -346,7 +419,7 @@
 		l.drop("other_cluster")
 	case m.Least > members.WireVersion:
 		l.drop("version")
-	case m.Kind < members.Ping || m.Kind > members.Lifeline:
+	case m.Kind < members.Ping || m.Kind > members.Word:
 		l.drop("kind")
 	case !goodName(m.From) || !sound(m):
 		l.drop("malformed")
--- a/internal/members/message.go
+++ b/internal/members/message.go
@@ -17,6 +17,7 @@
 	Renew                     // asks a guard for a lease (internal/shares)
 	Grant                     // grants it
 	Lifeline                  // first and last on a stream whose end tells that its sender's process has ended
+	Word                      // what the module tells other nodes
 )
 
 // Versions of the wire form. A reader skips keys, kinds and states that it does not know, so a later version may add them;
@@ -58,6 +59,8 @@
 	View    uint64 `msg:"w,omitempty"` // the number of the sender's view
 	For     uint64 `msg:"d,omitempty"` // the process that a Renew or Grant is meant for
 	Sum     uint32 `msg:"m,omitempty"` // of the list of members that share, likewise
+	Node    uint32 `msg:"q,omitempty"` // of a Word: the sender's number
+	Body    []byte `msg:"b,omitempty"` // of a Word
 	News    []Item `msg:"e,omitempty"`
 }
 
--- a/internal/members/message_gen.go
+++ b/internal/members/message_gen.go
@@ -191,8 +191,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
 	_ = zb0001Mask
 	if z.Least == 0 {
 		zb0001Len--
@@ -230,12 +230,20 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.News == nil {
+	if z.Node == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4000
 	}
+	if z.Body == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	if z.News == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10000
+	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -300,6 +308,16 @@
 			o = msgp.AppendUint32(o, z.Sum)
 		}
 		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendUint32(o, z.Node)
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendBytes(o, z.Body)
+		}
+		if (zb0001Mask & 0x10000) == 0 { // if not omitted
 			// string "e"
 			o = append(o, 0xa1, 0x65)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.News)))
@@ -425,21 +443,49 @@
 				err = msgp.WrapError(err, "Sum")
 				return
 			}
-		case "e":
+		case "q":
+			z.Node, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "b":
 			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "News")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
 			if zb0003 > zdc5d9100limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.News) >= int(zb0003) {
-				z.News = (z.News)[:zb0003]
+			if z.Body == nil || uint32(cap(z.Body)) < zb0003 {
+				z.Body = make([]byte, zb0003)
+			} else {
+				z.Body = z.Body[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0003])
+			bts = bts[zb0003:]
+		case "e":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "News")
+				return
+			}
+			if zb0004 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.News) >= int(zb0004) {
+				z.News = (z.News)[:zb0004]
 			} else {
-				z.News = make([]Item, zb0003)
+				z.News = make([]Item, zb0004)
 			}
 			for za0001 := range z.News {
 				bts, err = z.News[za0001].UnmarshalMsg(bts)
@@ -462,7 +508,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.Uint8Size + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint8Size + 2 + msgp.Uint8Size + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.News {
 		s += z.News[za0001].Msgsize()
 	}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -215,6 +215,15 @@
 	}
 }
 
+// Everyone queues a message of another subsystem to all in the view.
+func (c *Core) Everyone(m Message) {
+	for _, e := range c.sorted() {
+		if e.state.in() && c.state == Alive {
+			c.send(e, m, false)
+		}
+	}
+}
+
 // Signed is a message as this process sends it, for I/O that sends it itself.
 func (c *Core) Signed(m Message) Message {
 	m.Version, m.Cluster, m.From, m.Start, m.Inc, m.Address = WireVersion, c.o.Cluster, c.o.Name, c.o.Start, c.inc, c.o.Address
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/catalog"
 	"tackhub.example/tackhub/internal/clock"
+	"tackhub.example/tackhub/internal/cluster"
 	"tackhub.example/tackhub/internal/coap/back"
 	"tackhub.example/tackhub/internal/coap/front"
 	"tackhub.example/tackhub/internal/config"
@@ -86,7 +87,9 @@
 	each    int                         // connections on either side
 	ending  sync.WaitGroup
 
-	subsystems *part.Set // what the operator file turns on
+	subsystems *part.Set                      // what the operator file turns on
+	number     int                            // of the settings
+	carrier    atomic.Pointer[cluster.Teller] // of the module's messages; nil: peers, where there are any
 }
 
 func newNode(c config.Config, log *slog.Logger, count *counters.Counters) (*node, error) {
@@ -106,7 +109,7 @@
 	for _, class := range set.Classes {
 		count.Operations[class.Name] = &counters.Operation{}
 	}
-	n := &node{name: c.Name, each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set)}
+	n := &node{name: c.Name, number: set.Node, each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set)}
 	n.catalog = catalog.New(catalog.Options{Address: c.Discovery, Nodes: set.Nodes, Subscribe: set.Subscribe,
 		MustAsk: clock.Span(set.MustAskIn), Grace: clock.Span(set.DrainGrace), Log: log, Count: count}, c.Known)
 	n.roster = roster.New(n.catalog, lateNews{n})
@@ -116,15 +119,13 @@
 	n.back = back.New(back.Options{Addresses: n.roster, NStart: nstart, Again: clock.Span(set.DrainGrace / 2),
 		ParseLoad: n.pool.Load, Log: log, Count: &count.CoapBack})
 	n.watch = watch.New(module, c.Watch, log, &count.Watch)
-	var teller engine.Teller
 	if len(c.Peers) > 0 {
 		n.peers, err = peers.Listen(peers.Options{Node: set.Node, Nodes: c.Peers, To: lateNews{n}, Log: log, Count: &count.Peers})
 		if err != nil {
 			return nil, err
 		}
-		teller = n.peers
 	}
-	n.engine = engine.New(engine.Options{Module: n.watch, Clock: clk, Prober: n, Watcher: n.catalog, Teller: teller,
+	n.engine = engine.New(engine.Options{Module: n.watch, Clock: clk, Prober: n, Watcher: n.catalog, Teller: n,
 		MaxAttempts: set.MaxAttempts, Log: log, Count: count})
 	n.classes = set.Classes
 	bodies := body.New(os.Getenv("TMPDIR"), files, max(fewestFiles, int(c.Limits.MemoryMB*bodyShare*(1<<20))/body.Piece), &count.Bodies)
@@ -208,6 +209,36 @@
 // Window is the longest time in which a keyed request's repeats are dropped.
 func (n *node) Window() time.Duration { return n.window }
 
+// Number is the node's, by its settings.
+func (n *node) Number() int { return n.number }
+
+// Carry has the module's messages to other nodes go over a cluster's link, and with nil no longer.
+func (n *node) Carry(t cluster.Teller) {
+	if t == nil {
+		n.carrier.Store(nil)
+		return
+	}
+	n.carrier.Store(&t)
+}
+
+// Tell passes a message of the module's on to the other nodes. It does not wait.
+func (n *node) Tell(body []byte) {
+	if t := n.carrier.Load(); t != nil {
+		(*t).Tell(body)
+	} else if n.peers != nil {
+		n.peers.Tell(body)
+	}
+}
+
+// Hear tells the module what another node told.
+func (n *node) Hear(m logic.Told) { n.engine.Hear(m) }
+
+// TookOver tells whether another process of this node ran when this one started.
+func (n *node) TookOver() bool { return n.upgrade != nil && n.upgrade.heir != nil }
+
+// Succeeded tells whether another process takes over now.
+func (n *node) Succeeded() bool { return n.upgrade != nil && n.upgrade.succeeded.Load() }
+
 // SetShare tells the module what it may use of the whole fleet's; with heeded it returns once that is in force.
 func (n *node) SetShare(share logic.Share, heeded bool) {
 	n.engine.Tell(share)
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -40,6 +41,8 @@
 	heir   *handover.Heir   // of the process before this one; nil at a plain start
 	keeper *handover.Keeper // for the next; nil where $TMPDIR has no place for it
 	out    chan handover.Message
+
+	succeeded atomic.Bool // the next process serves
 }
 
 // takeOver gets the clients' listener: from the process that serves, where there is one, else anew. What the process
@@ -170,6 +173,7 @@
 	u.n.pool.Share(processes)
 	u.n.engine.Tell(logic.Beside{Processes: processes})
 	if !on {
+		u.succeeded.Store(false)
 		u.n.ingress.Succeed(false)
 		u.n.desk.TellIDs(nil)
 	}
@@ -186,6 +190,7 @@
 
 // Succeeded says that the next process serves.
 func (u *upgrade) Succeeded() {
+	u.succeeded.Store(true)
 	u.n.ingress.Succeed(true)
 	u.n.desk.TellIDs(u.tellID)
 }
