--- a/lab/membersim/schedules_test.go
+++ b/lab/membersim/schedules_test.go
@@ -263,23 +263,10 @@
 // Costs are flat in the number of members, and a datagram fits its packet.
 func TestCosts(t *testing.T) {
 	for _, n := range []int{5, 16, 64, 300} {
-		o := options(n, 2)
-		o.Met = true
-		s := New(o)
-		s.Run(12 * time.Second)
-		s.Count()
-		s.Run(10 * time.Second)
-		each := float64(s.Bytes) / 10 / float64(n)
-		calm := s.Largest
-		for i := range n * 6 / 10 {
-			s.Kill(i)
-		}
-		s.Count()
-		s.Run(10 * time.Second)
-		t.Logf("%d members: %.0f bytes a second each, calm; %.0f while six in ten are lost; largest datagram %d, %d", n, each,
-			float64(s.Bytes)/10/float64(n-n*6/10), calm, s.Largest)
-		if each > 1000 || s.Largest > 1200 {
-			t.Errorf("%d members: %.0f bytes a second, largest datagram %d", n, each, s.Largest)
+		c := Costs(options(n, 2))
+		t.Logf("%+v", c)
+		if c.Calm > 1000 || c.Largest > 1200 || c.Known == 0 {
+			t.Errorf("%+v", c)
 		}
 	}
 }
