--- a/internal/cluster/command.go
+++ b/internal/cluster/command.go
@@ -75,6 +75,7 @@
 		b.WriteString("the servers can do what is asked for\n")
 	}
 	fmt.Fprintf(&b, "by the figures of %d members, %.0f%% of the view\n%-20s %10s %10s %8s\n", s.Members, 100*s.Cover, "class", "asked /s", "done /s", "let in")
+	fmt.Fprintf(&b, "%.0f%% of all attempts fail; %.0f%% of the budget for further ones is free\n", 100*s.Failing, 100*s.Retries)
 	for _, c := range slices.Sorted(maps.Keys(s.Asked)) {
 		fmt.Fprintf(&b, "%-20s %10.0f %10.0f %7.0f%%\n", c, s.Asked[c], s.Done[c], 100*s.Admit[c])
 	}
--- a/internal/cluster/load.go
+++ b/internal/cluster/load.go
@@ -49,7 +49,8 @@
 // counts are the node's own since its start.
 func (o *load) counts() overload.Counts {
 	c := o.l.node.Counters()
-	out := overload.Counts{Shed: uint64(c.GivenUp.Get("fleet_cut"))}
+	out := overload.Counts{Shed: uint64(c.GivenUp.Get("fleet_cut")), Won: uint64(c.Outcomes.Get("served"))}
+	out.Tried = max(out.Won, uint64(c.Attempts.Sent.Get()-c.Attempts.Open.Get()))
 	for _, name := range o.classes {
 		k := c.Operations.For(name)
 		done := uint64(k.Fulfilled.Get() + k.Faulted.Get())
@@ -70,7 +71,7 @@
 			continue
 		}
 		s := overload.Summary{Name: i.Name, Start: i.Start, At: time.Duration(i.At) * time.Millisecond, Age: time.Duration(i.Age) * time.Millisecond,
-			Counts: overload.Counts{Shed: i.Shed, Asked: i.Counts[:len(o.classes)], Done: i.Counts[len(o.classes):]}}
+			Counts: overload.Counts{Shed: i.Shed, Tried: i.Tried, Won: i.Won, Asked: i.Counts[:len(o.classes)], Done: i.Counts[len(o.classes):]}}
 		o.s.Merge(now, s)
 	}
 }
@@ -96,14 +97,14 @@
 
 // heed has the module follow the cut, where it has changed.
 func (o *load) heed(cut overload.Cut, now time.Duration) {
-	if cut.Active || o.cut.Active {
+	if cut.Active || o.cut.Active || cut.NoRetries != o.cut.NoRetries {
 		shares := map[string]float64{}
 		for i, name := range o.classes {
 			if cut.Active {
 				shares[name] = cut.Shares[i]
 			}
 		}
-		o.l.node.Inform(logic.Admission{Shares: shares}, false)
+		o.l.node.Inform(logic.Admission{Shares: shares, NoRetries: cut.NoRetries}, false)
 	}
 	if cut.Active != o.cut.Active {
 		f := o.s.Figures()
@@ -115,7 +116,7 @@
 			o.l.log.Info("the servers can do all that is asked for again", append(args, "after_ms", (now-o.since).Milliseconds())...)
 		}
 	}
-	o.cut = overload.Cut{Active: cut.Active, Shares: slices.Clone(cut.Shares)}
+	o.cut = overload.Cut{Active: cut.Active, Shares: slices.Clone(cut.Shares), NoRetries: cut.NoRetries}
 }
 
 func total(x []float64) (out float64) {
@@ -130,7 +131,7 @@
 	var items []members.LoadItem
 	for _, s := range o.s.Fresh(now, o.each) {
 		items = append(items, members.LoadItem{Name: s.Name, Start: s.Start, At: uint64(s.At.Milliseconds()), Age: uint32(s.Age.Milliseconds()),
-			Shed: s.Shed, Counts: append(slices.Clone(s.Asked), s.Done...)})
+			Shed: s.Shed, Tried: s.Tried, Won: s.Won, Counts: append(slices.Clone(s.Asked), s.Done...)})
 	}
 	o.l.core.Some(members.Message{Kind: members.Loads, Loads: items})
 }
@@ -144,6 +145,8 @@
 	Limit   float64            `json:"limit_per_s"` // what is let in; 0: all
 	Members int                `json:"members"`     // whose figures these are
 	Cover   float64            `json:"cover"`       // share of the view that was heard of
+	Failing float64            `json:"failing"`     // part of all attempts that fail
+	Retries float64            `json:"retries"`     // part of the budget for further attempts that is free
 	For     int64              `json:"for_ms"`      // it has been so; 0 where there is no cut
 }
 
@@ -155,6 +158,10 @@
 	f := o.s.Figures()
 	out := &LoadStatus{Active: o.cut.Active, Asked: map[string]float64{}, Done: map[string]float64{}, Admit: map[string]float64{}, Limit: f.Limit,
 		Members: f.Members, Cover: f.Cover}
+	out.Retries = 1 - o.cut.NoRetries
+	if f.Tried > 0 {
+		out.Failing = 1 - f.Won/f.Tried
+	}
 	if o.cut.Active {
 		out.For = (o.l.now() - o.since).Milliseconds()
 	}
--- a/internal/members/message.go
+++ b/internal/members/message.go
@@ -73,6 +73,8 @@
 	At     uint64   `msg:"t"`           // milliseconds of its own clock
 	Age    uint32   `msg:"a,omitempty"` // milliseconds since then
 	Shed   uint64   `msg:"d,omitempty"` // refused by the fleet's cut
+	Tried  uint64   `msg:"r,omitempty"` // attempts
+	Won    uint64   `msg:"w,omitempty"` // of these, served
 	Counts []uint64 `msg:"c"`           // asked for by class, then not refused by class
 }
 
--- a/internal/members/message_gen.go
+++ b/internal/members/message_gen.go
@@ -191,8 +191,8 @@
 func (z *LoadItem) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Age == 0 {
 		zb0001Len--
@@ -202,6 +202,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Tried == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Won == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -226,6 +234,16 @@
 			o = append(o, 0xa1, 0x64)
 			o = msgp.AppendUint64(o, z.Shed)
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendUint64(o, z.Tried)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendUint64(o, z.Won)
+		}
 		// string "c"
 		o = append(o, 0xa1, 0x63)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
@@ -288,6 +306,18 @@
 				err = msgp.WrapError(err, "Shed")
 				return
 			}
+		case "r":
+			z.Tried, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tried")
+				return
+			}
+		case "w":
+			z.Won, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Won")
+				return
+			}
 		case "c":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -325,7 +355,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadItem) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Counts) * (msgp.Uint64Size))
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Counts) * (msgp.Uint64Size))
 	return
 }
 
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -47,6 +47,12 @@
 	// some nodes of the operators' trials see several times the mean.
 	believed = 4
 
+	// The budget for further attempts falls from whole to nothing as the part of all attempts that fails goes from failFew to
+	// failMost: there each further one only adds to what fails. It comes back by retriesBack a decision, three seconds for the
+	// whole: servers that have just come back are the ones that a storm of repeats would push over. triedLeast attempts a second
+	// tell nothing.
+	failFew, failMost, retriesBack, triedLeast = 0.2, 0.5, 0.08, 5
+
 	// covered of the reporters must be heard of for the cut to count whole, and not at all below half of that. There are so
 	// many reporters at the most, the same for all: the cut rests on shares, and those of two dozen nodes are a fleet's.
 	covered, reporters = 0.75, 24
@@ -61,6 +67,8 @@
 // Counts are what one process has counted since its start.
 type Counts struct {
 	Shed  uint64   // refused by the cut
+	Tried uint64   // attempts that have ended
+	Won   uint64   // of these, the ones that were served
 	Asked []uint64 // requests ended, by class
 	Done  []uint64 // of these, the ones that were not refused: what failed took its place at the servers too
 }
@@ -98,17 +106,18 @@
 
 // State is one process's.
 type State struct {
-	o       Options
-	from    map[string]*source
-	order   []int // classes, the dearest first
-	active  bool
-	unmet   int      // decisions in a row that found work not served
-	roomy   int      // ... that found room for everything
-	part    float64  // of all that is asked for, let in
-	calm    float64  // part that was done of what was asked for, before the overload
-	tell    []string // reporters
-	shares  []float64
-	figures Figures
+	o         Options
+	from      map[string]*source
+	order     []int // classes, the dearest first
+	active    bool
+	unmet     int      // decisions in a row that found work not served
+	roomy     int      // ... that found room for everything
+	part      float64  // of all that is asked for, let in
+	calm      float64  // part that was done of what was asked for, before the overload
+	tell      []string // reporters
+	noRetries float64
+	shares    []float64
+	figures   Figures
 }
 
 // New makes the state.
@@ -156,7 +165,7 @@
 			return false
 		}
 	}
-	return b.Shed >= a.Shed
+	return b.Shed >= a.Shed && b.Tried >= a.Tried && b.Won >= a.Won
 }
 
 // Fresh are summaries to pass on: this process's own, and those of others that have been passed on least, n in all.
@@ -192,6 +201,8 @@
 	Asked   []float64
 	Done    []float64
 	Shed    float64
+	Tried   float64
+	Won     float64
 	Limit   float64 // what may be let in; 0: all
 	Cover   float64 // share of the members that were heard of
 }
@@ -210,8 +221,8 @@
 
 // rate is what one process counts in a second.
 type rate struct {
-	asked, done []float64
-	shed, all   float64
+	asked, done           []float64
+	shed, all, tried, won float64
 }
 
 // rates adds up what all tell.
@@ -236,7 +247,8 @@
 		if span <= 0 {
 			continue
 		}
-		r := rate{asked: make([]float64, n), done: make([]float64, n), shed: float64(last.c.Shed-first.c.Shed) / span}
+		r := rate{asked: make([]float64, n), done: make([]float64, n), shed: float64(last.c.Shed-first.c.Shed) / span,
+			tried: float64(last.c.Tried-first.c.Tried) / span, won: float64(last.c.Won-first.c.Won) / span}
 		for i := range n {
 			r.asked[i] = float64(last.c.Asked[i]-first.c.Asked[i]) / span
 			r.done[i] = float64(last.c.Done[i]-first.c.Done[i]) / span
@@ -255,6 +267,7 @@
 			f.Done[i] += r.done[i] * scale
 		}
 		f.Shed += r.shed * scale
+		f.Tried, f.Won = f.Tried+r.tried*scale, f.Won+r.won*scale
 	}
 	f.Cover = min(1, float64(f.Members)/float64(max(1, len(s.tell))))
 	return f
@@ -262,21 +275,23 @@
 
 // Cut is what a node lets in.
 type Cut struct {
-	Active bool
-	Shares []float64 // of each class, from 0 to 1
+	Active    bool
+	Shares    []float64 // of each class, from 0 to 1
+	NoRetries float64   // part of the retry budget that is held back
 }
 
 // Decide works out the cut from what is known, with these members in the view. It is called a few times a second.
 func (s *State) Decide(now time.Duration, members []string) Cut {
 	s.tell = Reporters(members)
 	f := s.rates(now)
+	s.hold(f)
 	asked, done := sum(f.Asked), sum(f.Done)
 	for i := range s.shares {
 		s.shares[i] = 1
 	}
 	if asked <= 0 {
 		s.active, s.unmet, s.roomy, s.figures = false, 0, 0, f
-		return Cut{Shares: s.shares}
+		return Cut{Shares: s.shares, NoRetries: s.noRetries}
 	}
 	if s.unmet++; done >= (1-begins)*asked {
 		s.unmet = 0
@@ -289,7 +304,7 @@
 			s.calm = done / asked
 		}
 		s.figures = f
-		return Cut{Shares: s.shares}
+		return Cut{Shares: s.shares, NoRetries: s.noRetries}
 	}
 	met := min(1, done/max(1e-9, asked-f.Shed)/s.calm)
 	grow := tight + (loose-tight)*min(1, max(0, met-doneLow)/(doneAt-doneLow))
@@ -307,17 +322,28 @@
 	}
 	s.figures = f
 	s.fill(f)
-	return Cut{Active: s.active, Shares: s.shares}
+	return Cut{Active: s.active, Shares: s.shares, NoRetries: s.noRetries}
 }
 
+// hold works out how much of the retry budget is held back: at once when attempts fail, given back gradually.
+func (s *State) hold(f Figures) {
+	want := 0.0
+	if f.Tried >= triedLeast {
+		want = min(1, max(0, 1-f.Won/f.Tried-failFew)/(failMost-failFew))
+	}
+	s.noRetries = max(want*s.strength(f), s.noRetries-retriesBack)
+}
+
+// strength is how much a decision counts: with part of the fleet unheard of less, and nothing at half of what must be heard.
+func (s *State) strength(f Figures) float64 { return min(1, max(0, 2*f.Cover/covered-1)) }
+
 // fill lets the dearest in first until the limit is reached.
 func (s *State) fill(f Figures) {
 	left := f.Limit
 	for _, a := range f.Asked {
 		left -= least * a
 	}
-	// With part of the fleet unheard of the cut is weaker, and gone at half of what must be heard.
-	strength := min(1, max(0, 2*f.Cover/covered-1))
+	strength := s.strength(f)
 	for _, i := range s.order {
 		a := f.Asked[i] * (1 - least)
 		in := min(a, max(0, left))
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -235,3 +235,24 @@
 		}
 	}
 }
+
+// While most attempts of the fleet fail nothing is tried again, and the budget comes back gradually; few failures hold nothing.
+func TestRetriesAreHeldBack(t *testing.T) {
+	s := New(Options{Name: "a", Start: 1, Classes: classes})
+	c, now := Counts{Asked: make([]uint64, 3), Done: make([]uint64, 3)}, time.Duration(0)
+	run := func(seconds, fail float64) float64 {
+		held := 0.0
+		for range int(seconds * 4) {
+			now += 250 * time.Millisecond
+			c.Tried, c.Won = c.Tried+100, c.Won+uint64(100*(1-fail))
+			s.Observe(now, now, Counts{Tried: c.Tried, Won: c.Won, Asked: make([]uint64, 3), Done: make([]uint64, 3)})
+			held = s.Decide(now, []string{"a"}).NoRetries
+		}
+		return held
+	}
+	for _, c := range []struct{ seconds, fail, low, high float64 }{{5, 0.1, 0, 0}, {2, 0.6, 1, 1}, {1.5, 0, 0.4, 0.95}, {5, 0, 0, 0}, {3, 0.35, 0.4, 0.6}} {
+		if held := run(c.seconds, c.fail); held < c.low || held > c.high {
+			t.Errorf("%v s at %v failing: %.2f held back, want %v to %v", c.seconds, c.fail, held, c.low, c.high)
+		}
+	}
+}
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -1,8 +1,12 @@
 package logic
 
 // Admission is the fleet's cut: which part of each class's requests is let in while there is more work than the servers can do.
-// Classes that are not named are let in whole; an empty one ends the cut.
-type Admission struct{ Shares map[string]float64 }
+// Classes that are not named are let in whole; an empty one ends the cut. NoRetries is the part of the budget for further
+// attempts that is held back, from 0 to 1, while most attempts of the whole fleet fail.
+type Admission struct {
+	Shares    map[string]float64
+	NoRetries float64
+}
 
 func (Admission) event() {}
 
@@ -10,7 +14,7 @@
 type fleetNews interface{ apply(l *Logic) }
 
 func (e Share) apply(l *Logic)     { l.fleetShare = &e }
-func (e Admission) apply(l *Logic) { l.admission = e.Shares }
+func (e Admission) apply(l *Logic) { l.admission, l.noRetries = e.Shares, e.NoRetries }
 
 // cut tells whether the fleet has no room for a request. The mark decides, which is the same at whichever node it arrives.
 func (l *Logic) cut(c *classState, mark uint64) bool {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1018,7 +1018,7 @@
 	if retry && l.set.MarksRetry {
 		return
 	}
-	l.retries.refill(l.retries.at+1, retryShare, retryBurst)
+	l.retries.refill(l.retries.at+1, retryShare*(1-l.noRetries), retryBurst)
 	l.tellings.refill(l.tellings.at+1, tellSpend, tellBurst*tellSpend)
 	hands := l.crowd + float64(l.outstanding)/max(1, float64(len(l.list)))
 	spend := l.ease * probeSpend * min(1, hands/math.Round(l.width)) // little is gained by asking idle servers
--- a/logic/state.go
+++ b/logic/state.go
@@ -15,6 +15,7 @@
 type Logic struct {
 	set            Settings
 	processes      int                // that make this node
+	noRetries      float64            // part of the retry budget that the fleet holds back
 	admission      map[string]float64 // the fleet's cut by class; nil: none
 	fleetShare     *Share             // of what the whole fleet may use; nil: the even part
 	source         *rand.PCG          // of the chance
