--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -56,7 +56,7 @@
 		t.Fatal(err)
 	}
 	raw[0]++                                 // one more key in the map
-	raw = append(raw, 0xa1, 'z', 0x92, 1, 2) // "z": [1, 2]
+	raw = append(raw, 0xa1, 'y', 0x92, 1, 2) // "y": [1, 2]
 	got := &Message{}
 	if rest, err := got.UnmarshalMsg(raw); err != nil || len(rest) > 0 {
 		t.Fatalf("%d bytes left, %v", len(rest), err)
