--- a/cmd/tackhub/cluster_test.go
+++ b/cmd/tackhub/cluster_test.go
@@ -277,3 +277,26 @@
 		}
 	}
 }
+
+// Turned off by SIGHUP a member says goodbye, and turned on again it is back; its keys cannot be changed while it runs.
+func TestClusterOffAndOn(t *testing.T) {
+	t.Parallel()
+	b := startBank(t, 2)
+	b.views("both to meet", []int{0, 1}, "m0", "m1")
+	edge := filepath.Join(b.dir, "m0.toml")
+	on, err := os.ReadFile(edge)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, edge, string(on)+"period = \"300ms\"\n")
+	b.nodes[0].reload("edge_failed")
+	writeFile(t, edge, "")
+	b.nodes[0].reload("edge")
+	eventually(t, "the goodbye", func() bool {
+		m := b.status(1).Members
+		return len(m) == 1 && m[0].State == swim.Left
+	})
+	writeFile(t, edge, string(on))
+	b.nodes[0].reload("edge")
+	b.views("it to be back", []int{0, 1}, "m0", "m1")
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -232,6 +232,7 @@
 		return
 	}
 	l.fleet.end()
+	l.load.end()
 	l.stop()
 	l.ending.Wait()
 }
--- a/internal/cluster/load.go
+++ b/internal/cluster/load.go
@@ -46,6 +46,13 @@
 	return o
 }
 
+// end ends the cut: nobody would work it out any more.
+func (o *load) end() {
+	if o != nil {
+		o.l.node.Inform(logic.Admission{}, false)
+	}
+}
+
 // counts are the node's own since its start.
 func (o *load) counts() overload.Counts {
 	c := o.l.node.Counters()
