--- a/lab/membersim/schedules_test.go
+++ b/lab/membersim/schedules_test.go
@@ -156,7 +156,8 @@
 				}
 			}
 		},
-		"pauses": nil,
+		"pauses":  nil,
+		"starved": nil, // a fifth of the members run for a tenth of a second now and then
 	}
 	for what, fault := range faults {
 		for _, n := range []int{5, 16} {
@@ -169,6 +170,12 @@
 				until := make([]time.Duration, n)
 				for s.Now() < 50*time.Second {
 					for i := range n {
+						if what == "starved" {
+							if s.Wake(i); i < max(1, n/5) && rng.IntN(3) > 0 {
+								s.Stop(i)
+							}
+							continue
+						}
 						if fault == nil && s.Up(i) && rng.IntN(160) == 0 {
 							s.Stop(i)
 							until[i] = s.Now() + 2*time.Second
