--- a/lab/audit/members.go
+++ b/lab/audit/members.go
@@ -309,13 +309,13 @@
 	return s.At - since, true
 }
 
-// there tells whether a node has been there and heard by most for as long as it takes to be back. Standing still for a while
-// is being there.
+// there tells whether a node has been there, heard by most and with a way to the sample's, for as long as it takes to be
+// back. Standing still for a while is being there.
 func (m Members) there(truths []*times, marks []At, k int, s MemberSample, j int) bool {
 	for ; k >= 0; k-- {
 		t := truths[k]
 		dead := t.gone[j] >= 0 && !m.stopped(j, t.at)
-		if dead || !t.most(j) || !t.up[s.Node] || m.long(j, t.at) {
+		if dead || !t.most(j) || !t.up[s.Node] || m.long(j, t.at) || !t.way(j, s.Node) {
 			return false
 		}
 		if s.At-marks[k] > back {
