Test two links whole: messages of the module, shares from nothing, a part that passes on

Need: that the module's messages go over the cluster's link had no test. Two links on loopback sockets with nodes of the test's own, -race: the module begins with no share, comes to half of the whole, a message arrives under its sender's number, a stopped link gives its share back before anybody can see its end, and who is left has the whole.

--- /dev/null
+++ b/internal/cluster/link_test.go
@@ -0,0 +1,128 @@
+package cluster
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"tackhub.example/tackhub/internal/clock"
+	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/operator"
+	"tackhub.example/tackhub/internal/part"
+	"tackhub.example/tackhub/logic"
+)
+
+// fakeNode is a node as the link sees it.
+type fakeNode struct {
+	name   string
+	number int
+	count  counters.Counters
+
+	mu     sync.Mutex
+	events []logic.Event
+	told   []logic.Told
+	teller Teller
+}
+
+func (n *fakeNode) Name() string                 { return n.name }
+func (n *fakeNode) Number() int                  { return n.number }
+func (n *fakeNode) Clock() clock.Clock           { return clock.New() }
+func (n *fakeNode) Counters() *counters.Counters { return &n.count }
+func (n *fakeNode) Classes() []logic.Class       { return []logic.Class{{Name: "look", Worth: 1}} }
+func (n *fakeNode) TookOver() bool               { return false }
+func (n *fakeNode) Succeeded() bool              { return false }
+
+func (n *fakeNode) Inform(e logic.Event, _ bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.events = append(n.events, e)
+}
+
+func (n *fakeNode) Carry(t Teller) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.teller = t
+}
+
+func (n *fakeNode) Hear(m logic.Told) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.told = append(n.told, m)
+}
+
+// share is the last one that the module was told.
+func (n *fakeNode) share() (out logic.Share) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range n.events {
+		if s, is := e.(logic.Share); is {
+			out = s
+		}
+	}
+	return out
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+// Two links: the module's messages go over them under the sender's number, each module begins with no share and comes to half
+// of the whole, and the end of one hands its part to the other at once.
+func TestTwoLinks(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	var at [2]string
+	for i := range at {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at[i] = l.Addr().String()
+		_ = l.Close()
+	}
+	nodes := [2]*fakeNode{{name: "n0", number: 4}, {name: "n1", number: 7}}
+	var links [2]part.Running
+	for i, n := range nodes {
+		o := Part().Section.New().(*Options)
+		o.Listen, o.Seeds, o.Overload, o.Shares = at[i], []string{at[1-i]}, true, map[string]string{"n0": at[0], "n1": at[1]}
+		o.Lease = operator.Duration(time.Second) // the test need not wait for four
+		if faults := check(o); len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		r, err := build(part.Host{Log: slog.New(slog.DiscardHandler), Node: n}, o, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Start(context.Background())
+		links[i] = r
+		if s := n.share(); s != (logic.Share{}) {
+			t.Errorf("%s begins with %+v", n.name, s)
+		}
+	}
+	defer links[0].Stop()
+	for _, n := range nodes {
+		eventually(t, "half of the whole for "+n.name, func() bool { return n.share().Value == 0.5 })
+	}
+	nodes[0].teller.Tell([]byte("news"))
+	eventually(t, "the module's message", func() bool {
+		nodes[1].mu.Lock()
+		defer nodes[1].mu.Unlock()
+		return len(nodes[1].told) == 1 && nodes[1].told[0].From == 4 && string(nodes[1].told[0].Body) == "news"
+	})
+	links[1].Stop()
+	if s := nodes[1].share(); s != (logic.Share{}) || nodes[1].teller != nil {
+		t.Errorf("stopped it has %+v, and carries %v", s, nodes[1].teller)
+	}
+	eventually(t, "the whole for who is left", func() bool { s := nodes[0].share(); return s.Value == 1 && s.After == 1 })
+	if _, err := build(part.Host{Log: slog.New(slog.DiscardHandler), Node: nodes[0]}, &Options{Listen: at[1], Shares: map[string]string{"n1": at[1], "n2": at[0]}}, nil); err == nil {
+		t.Error("a member that is not among those that share was built")
+	}
+}
