--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -181,3 +181,35 @@
 		}
 	})
 }
+
+// A member that was lost for the third time within a minute stays out of the view for two suspicions after its return.
+func TestFlappingIsDamped(t *testing.T) {
+	c := core("a1", 5)
+	c.Receive(0, from("b2", 1, Ping))
+	run(c, 0, time.Second)
+	lose := func(at time.Duration, outs int) {
+		e := c.known["b2"]
+		e.state, e.since, e.outs, e.outAt = Unreachable, at, outs, at
+		c.changed()
+		run(c, at, at+500*time.Millisecond)
+		c.Receive(at+550*time.Millisecond, from("b2", 1, Ping))
+	}
+	held := func(from, to time.Duration) bool {
+		in := false
+		for ; from <= to; from += 100 * time.Millisecond {
+			c.Receive(from, &Message{Kind: Ping, Version: 1, Cluster: 1, From: "b2", Start: 1, Address: "10.0.1.2:7946"})
+			c.Tick(from)
+			in = in || slices.Contains(c.View().Members, "b2")
+		}
+		return in
+	}
+	if lose(2*time.Second, 2); !held(2600*time.Millisecond, 3200*time.Millisecond) {
+		t.Error("kept out at the second loss")
+	}
+	if lose(4*time.Second, 3); held(4600*time.Millisecond, 9400*time.Millisecond) {
+		t.Error("back at once after the third loss")
+	}
+	if !held(9500*time.Millisecond, 10500*time.Millisecond) {
+		t.Error("not back after two suspicions")
+	}
+}
