See clients that leave behind unread bytes, and send nothing of one that had left

Seen: reading ingress.conn.Watch line by line. It stopped looking once unread bytes lay there, so a client that sent more than its request and went was never seen to leave; its request stayed out for all of its time, and the next ones on the connection were sent on in turn. And a request that had lain in the kernel or behind others went to the module, and so to a server, before anyone looked whether its client was still there. Change: peek asks the kernel (POLLRDHUP) whether an end lies behind what it sees and Watch looks on behind bytes; exchange asks Left once before a request is decided on, also where a large one is decided on anew. 499 as before.

--- a/internal/coap/front/incoming.go
+++ b/internal/coap/front/incoming.go
@@ -229,6 +229,9 @@
 // Watch never tells that it left.
 func (d device) Watch() (<-chan struct{}, func()) { return nil, func() {} }
 
+// Left is not known of a device: a datagram's sender has no connection that would end.
+func (d device) Left() bool { return false }
+
 // Ends has nothing to end.
 func (d device) Ends(string) {}
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -31,6 +31,8 @@
 	LastRead() time.Time
 	// Watch tells when the client leaves, until stop is called. Nothing is taken from the connection.
 	Watch() (left <-chan struct{}, stop func())
+	// Left tells whether the client has gone already.
+	Left() bool
 	// Ends gives the reason why the connection ends.
 	Ends(reason string)
 }
@@ -151,6 +153,11 @@
 		}
 		return
 	}
+	// A request may have lain in the kernel or behind others, and its client has given it up meanwhile.
+	if e := r.gone(ctx, client); e != nil {
+		r.book(ctx, *e)
+		return
+	}
 	r.route()
 	if e := r.upload(ctx, client); e != nil {
 		r.book(ctx, *e)
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -47,15 +47,29 @@
 		return endingOf(a)
 	case <-left:
 		r.drop()
-		client.Ends(EndLeft)
-		ctx.SetConnectionClose()
-		return ending{status: statusLeft, left: true}
+		return leaves(ctx, client)
 	case <-guard.C:
 		r.drop()
 		return ending{status: fasthttp.StatusGatewayTimeout, kind: engine.TimedOut, overdue: true}
 	}
 }
 
+// gone tells how a request ended whose client had left before it was decided on, else nil. Nothing of it is sent on.
+func (r *request) gone(ctx *fasthttp.RequestCtx, client Client) *ending {
+	if !client.Left() {
+		return nil
+	}
+	e := leaves(ctx, client)
+	return &e
+}
+
+// leaves ends the connection of a client that has left.
+func leaves(ctx *fasthttp.RequestCtx, client Client) ending {
+	client.Ends(EndLeft)
+	ctx.SetConnectionClose()
+	return ending{status: statusLeft, left: true}
+}
+
 // endingOf gives an answer its status. What a server said of refusals or errors is never passed on: only the
 // module knows whether trying again is harmless.
 func endingOf(a engine.Answer) ending {
--- a/internal/exchange/serve_test.go
+++ b/internal/exchange/serve_test.go
@@ -24,6 +24,7 @@
 	left  chan struct{}
 	ended string
 	at    time.Time
+	gone  bool
 }
 
 func newClient() *client { return &client{left: make(chan struct{}), at: time.Now()} }
@@ -31,6 +32,7 @@
 func (c *client) LastRead() time.Time              { return c.at }
 func (c *client) Watch() (<-chan struct{}, func()) { return c.left, func() {} }
 func (c *client) Ends(reason string)               { c.ended = reason }
+func (c *client) Left() bool                       { return c.gone }
 
 // broken is a router that fails.
 type broken struct{}
@@ -104,6 +106,17 @@
 	}
 }
 
+// TestLeftBeforeItWasDecidedOn: broken fails whoever asks it, so the request cannot have come so far.
+func TestLeftBeforeItWasDecidedOn(t *testing.T) {
+	count, c := &counters.Counters{}, newClient()
+	c.gone = true
+	ctx := lookRequest(60_000)
+	desk(broken{}, count).Serve(ctx, c)
+	if ctx.Response.StatusCode() != statusLeft || c.ended != EndLeft || count.Requests.Left.Get() != 1 {
+		t.Errorf("status %d, ended %q, counted %s", ctx.Response.StatusCode(), c.ended, count.JSON())
+	}
+}
+
 // FuzzAdmit checks what is let through: only what is in the protocol's form, whatever came.
 func FuzzAdmit(f *testing.F) {
 	f.Add("GET", "/look?x=1", "1", "look", "480", "12", "")
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -72,6 +72,9 @@
 	if a := <-r.answer; a.Rest != nil {
 		a.Rest.Close()
 	}
+	if e := r.gone(ctx, client); e != nil {
+		return e
+	}
 	r.taken.coming, r.wire.expires = false, r.until
 	r.route()
 	return nil
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -278,7 +278,11 @@
 // waiting tells whether bytes have come that nobody has read.
 func (c *conn) waiting() bool {
 	got := false
-	_ = c.raw.Control(func(fd uintptr) { got = peek(fd) == peekData }) // a closed connection has none
+	_ = c.raw.Control(func(fd uintptr) { // a closed connection has none
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		got = err == nil && n > 0
+	})
 	return got
 }
 
@@ -289,21 +293,36 @@
 	peekEnd
 )
 
-// peek looks at what has come, and takes nothing.
+// peek looks at what has come, and takes nothing. An end behind bytes that nobody has read is an end: a client may have
+// sent more than its request and gone.
 func peek(fd uintptr) int {
 	var b [1]byte
 	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
 	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
 		return peekNothing
-	case err == nil && n > 0:
+	case err == nil && n > 0 && !ended(fd):
 		return peekData
 	}
 	return peekEnd
 }
 
+// ended tells whether the client's end has come, or the connection has broken, whatever lies before it unread.
+func ended(fd uintptr) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// Left tells whether the client has gone already.
+func (c *conn) Left() bool {
+	seen := peekNothing
+	err := c.raw.Control(func(fd uintptr) { seen = peek(fd) })
+	return err != nil || seen == peekEnd
+}
+
 // Watch tells when the client leaves, until stop is called. It only peeks, so that no byte of the next
-// request is lost; once such bytes are there it looks no further.
+// request is lost, and looks on behind such bytes: each thing that comes wakes it once.
 func (c *conn) Watch() (<-chan struct{}, func()) {
 	left, done := make(chan struct{}), make(chan struct{})
 	_ = c.Conn.SetReadDeadline(time.Time{}) // the request's own has been kept
@@ -312,7 +331,7 @@
 		seen := peekNothing
 		err := c.raw.Read(func(fd uintptr) bool {
 			seen = peek(fd)
-			return seen != peekNothing
+			return seen == peekEnd
 		})
 		if err == nil && seen == peekEnd {
 			close(left)
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -139,3 +140,36 @@
 		t.Error("a client's leaving was not seen")
 	}
 }
+
+// TestLeavingBehindBytes: the end comes while bytes lie unread, and after them.
+func TestLeavingBehindBytes(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"closed":      (*net.TCPConn).Close,
+		"half closed": (*net.TCPConn).CloseWrite,
+		"reset":       func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, c := pair(t)
+			left, stop := c.Watch()
+			defer stop()
+			if _, err := client.Write([]byte("next")); err != nil {
+				t.Fatal(err)
+			}
+			c.waitFor(t, c.waiting)
+			if c.Left() {
+				t.Error("a client that sent its next request was taken to have left")
+			}
+			if err := end(client.(*net.TCPConn)); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-left:
+			case <-time.After(10 * time.Second):
+				t.Error("a client's leaving was not seen")
+			}
+			if !c.Left() {
+				t.Error("a client that has gone was not taken to have left")
+			}
+		})
+	}
+}
