Ask a discovery that has gone silent again and again while a call is waited for

Checked in the logs: every node's call for the whole list had begun at 8.75 s and ended unanswered at 10.8 s: a call that is out when discovery comes back is never answered, whereas what it gets then counts as told at once. Cause: catalog.follow had one call out at a time, and waited 2 to 2.5 s for it. Change: once a call got no answer the next for the whole list is made every sixth to half of the grace while earlier ones are waited for, at most eight out; the first answer counts, being turned away ends it, and all is as before then. Test: TestNoCallIsWaitedForBeyondTheGrace, real connections, discovery comes back right behind a lost call; seen failing without the mend (asked again 1.6 to 2.5 s later, with a grace of 0.3 and 0.9 s).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -104,6 +104,7 @@
 	// Of the goroutine in Run: when the last answer came, and whether the module knows that it was too long ago.
 	informed time.Time
 	late     bool
+	silent   bool // the last call got no answer
 
 	mu       sync.RWMutex
 	members  map[logic.ServerID]Member
@@ -230,18 +231,26 @@
 // was turned away leaves what is held as it was. It gives why it failed; nil where that was our own doing.
 func (c *Catalog) follow(ctx context.Context, src *source, at *int64, pause time.Duration) (next time.Duration, failed error) {
 	for ctx.Err() == nil {
-		revision, err := c.call(src, *at)
-		if src != c.current() {
+		var list List
+		var err error
+		if *at < 0 && c.silent && !c.ask {
+			list, err = c.insist(ctx, src)
+		} else {
+			list, err = c.call(src, *at, c.answer)
+		}
+		if src != c.current() || ctx.Err() != nil {
 			break
 		}
 		if away := (turnedAway{}); err != nil && !errors.As(err, &away) {
 			*at = -1
 		}
+		c.silent = errors.Is(err, fasthttp.ErrTimeout)
 		if err != nil {
 			c.failed(err, pause == retryFirst)
 			return pause, err
 		}
-		*at, pause = revision, retryFirst
+		c.take(list, *at)
+		*at, pause = list.Revision, retryFirst
 	}
 	return pause, nil
 }
@@ -308,36 +317,35 @@
 	c.news.ListNews(logic.ServerList{Form: logic.ListFailed})
 }
 
-// call asks once, for the whole list where no version is held, and tells what came.
-func (c *Catalog) call(src *source, at int64) (int64, error) {
+// call asks once, for the whole list where no version is held; beyond a watch's hold the answer is waited for so long.
+func (c *Catalog) call(src *source, at int64, wait time.Duration) (List, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	uri, wait := "http://"+src.client.Addr+path, c.answer
+	uri := "http://" + src.client.Addr + path
 	if at >= 0 {
 		uri += "?from=" + strconv.FormatInt(at, 10) + "&hold_ms=" + strconv.FormatInt(c.hold.Milliseconds(), 10)
 		wait += c.hold
 	}
 	req.SetRequestURI(uri)
 	if err := src.client.DoTimeout(req, resp, wait); err != nil {
-		return 0, fmt.Errorf("%s: %w", path, err)
+		return List{}, fmt.Errorf("%s: %w", path, err)
 	}
 	switch resp.StatusCode() {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
-		return 0, fmt.Errorf("%s: status %d: %w", path, resp.StatusCode(), away(&resp.Header))
+		return List{}, fmt.Errorf("%s: status %d: %w", path, resp.StatusCode(), away(&resp.Header))
 	default:
-		return 0, fmt.Errorf("%s: status %d", path, resp.StatusCode())
+		return List{}, fmt.Errorf("%s: status %d", path, resp.StatusCode())
 	}
 	list, err := ParseList(resp.Body())
 	if err != nil {
-		return 0, fmt.Errorf("%s: %w", path, err)
+		return List{}, fmt.Errorf("%s: %w", path, err)
 	}
 	if list.Complete && len(list.Members) == 0 && c.Size() > 0 {
-		return 0, fmt.Errorf("%s: a whole list without members", path) // a broken discovery, not an empty fleet
+		return List{}, fmt.Errorf("%s: a whole list without members", path) // a broken discovery, not an empty fleet
 	}
-	c.take(list, at)
-	return list.Revision, nil
+	return list, nil
 }
 
 func (c *Catalog) take(list List, at int64) {
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -382,6 +382,58 @@
 	}
 }
 
+// TestNoCallIsWaitedForBeyondTheGrace has discovery come back right after a call that it never answers: waiting for the
+// end of that one kept 288 nodes for 0.6 s with a list of servers that had been told to drain (tbilisi-builds, herd+mass).
+func TestNoCallIsWaitedForBeyondTheGrace(t *testing.T) {
+	for _, tc := range []struct {
+		nodes int
+		grace time.Duration
+	}{{3, 300 * time.Millisecond}, {300, 300 * time.Millisecond}, {300, 900 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%d nodes, %v", tc.nodes, tc.grace), func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			c := New(Options{Address: l.Addr().String(), Nodes: tc.nodes, Grace: tc.grace, MustAsk: 200 * time.Millisecond,
+				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: &counters.Counters{}}, List{})
+			defer func() { c.current().cutOff() }()
+			go c.Run(ctx, List{}, deaf{})
+			for call := 0; call < 2; { // the first two calls, whichever connection they come on, get no answer
+				nc, err := l.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = nc.Close() }()
+				if _, err := nc.Read(make([]byte, 1)); err != nil {
+					t.Fatal(err)
+				}
+				call++
+			}
+			back := time.Now()
+			nc, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = nc.Close() }()
+			if took := time.Since(back); took > tc.grace {
+				t.Errorf("asked again %v after discovery was back", took)
+			}
+			if _, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(good))+"\r\n\r\n"+good); err != nil {
+				t.Fatal(err)
+			}
+			for end := time.Now().Add(10 * time.Second); c.Size() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the list never came")
+				}
+			}
+		})
+	}
+}
+
 // forms counts what a follower tells the module.
 type forms struct {
 	mu   sync.Mutex
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -38,7 +38,7 @@
 
 func newSource(address string, open Dial) *source {
 	s := &source{open: open, conns: map[*sourceConn]struct{}{}}
-	s.client = &fasthttp.HostClient{Addr: address, MaxConns: 2, MaxIdemponentCallAttempts: 1,
+	s.client = &fasthttp.HostClient{Addr: address, MaxConns: insistMost + 1, MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize: maxList, MaxIdleConnDuration: time.Minute, NoDefaultUserAgentHeader: true,
 		DisablePathNormalizing: true, DialTimeout: s.dial}
 	return s
