Write nothing to a server told to drain meanwhile, and no repeat after its window

Seen: reading upstream.Pool.get, logic.learn and logic.ran line by line. Three crossings with a connection that comes up late: - a server's drain was told after the request had been drawn to it; the copy was written as soon as the connection was up, however long after the telling (connect time-out against grace: both come from the settings). - a keyed repeat was decided on inside the window in which its group drops it, and written after it: run twice. - an entry of a server that is gone, or that drains, replaced its zone and cell too; where it lacks them a keyed request that may have run there was bound to cell 0 instead of its own group: run twice. Ruled out: a request bound by exclusion or the trial (allowed is asked for both), copies under way at the reset (not resent). Change: Catalog.Address names only servers that may be sent to, asked again once a connection is up (address_gone, Void); Send.WholeBy carries the window's end, and upstream writes neither a copy nor a large body's last piece after it; an entry of one not ready changes its state alone, and a server that changes its place begins without a past. TestAddressesFollowTheList held that a draining server's address is given; nobody needs it, the test now holds that it is not, an odd phase included.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -151,12 +151,15 @@
 	return c
 }
 
-// Address is where a server listens; false for one that has left the list.
+// Address is where a server listens; false for one that has left the list, or is to get nothing new.
 func (c *Catalog) Address(id logic.ServerID) (string, bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	m, ok := c.members[id]
-	return m.HostPort, ok
+	m := c.members[id]
+	if state, known := states[m.Phase]; !known || state != logic.Ready {
+		return "", false
+	}
+	return m.HostPort, true
 }
 
 // Size is the number of servers with an address.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -83,7 +83,9 @@
 			}
 		}
 	}
-	expect(map[logic.ServerID]string{"a": "1.1.1.1:1", "b": "1.1.1.1:2"})
+	expect(map[logic.ServerID]string{"a": "1.1.1.1:1"})
+	c.locate(List{Members: []Member{{ID: "a", HostPort: "1.1.1.1:1", Phase: "odd"}, {ID: "b", HostPort: "1.1.1.1:2", Phase: "SERVING"}}})
+	expect(map[logic.ServerID]string{"b": "1.1.1.1:2"})
 	c.locate(List{Members: []Member{{ID: "a", HostPort: "2.2.2.2:1", Phase: "SERVING"}, {ID: "b", Phase: "DELETED"}}})
 	expect(map[logic.ServerID]string{"a": "2.2.2.2:1"})
 	c.locate(List{Complete: true, Members: []Member{{ID: "c", HostPort: "3.3.3.3:1", Phase: "SERVING"}}})
--- a/internal/engine/carry.go
+++ b/internal/engine/carry.go
@@ -89,7 +89,7 @@
 	c.open++
 	e.count.Attempts.Sent.Inc()
 	e.count.Attempts.Open.Inc()
-	a.copy = c.exchange.Send(s.Server, stop-now, func(end End) { e.post(message{attempt: a, end: &end}) })
+	a.copy = c.exchange.Send(s.Server, stop-now, s.WholeBy, func(end End) { e.post(message{attempt: a, end: &end}) })
 	if !c.uploading {
 		e.timers.add(stop, "", a)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"time"
@@ -82,8 +83,16 @@
 	Bytes []byte
 	Body  Body   // what follows the bytes; nil for none
 	Wrote func() // called once when the last byte has been written; nil where nobody asks
+	// WholeBy is when the last byte must have been written, or must not be any more; zero: no such end.
+	WholeBy time.Time
 }
 
+// ErrTooLate says that a copy could not be written whole in time. Nothing that a server could begin has been.
+var ErrTooLate = errors.New("not written whole in time")
+
+// InTime tells whether the last byte may still be written.
+func (c Copy) InTime() bool { return c.WholeBy.IsZero() || time.Now().Before(c.WholeBy) }
+
 // Body is a large body that is kept outside memory.
 type Body interface {
 	Size() int64 // in bytes
@@ -103,7 +112,8 @@
 // Exchange is one client's request. Its methods do not wait.
 type Exchange interface {
 	Arrival() logic.Arrival
-	Send(server logic.ServerID, wait logic.Millis, done func(End)) Attempt
+	// Send starts an attempt that is waited for so long, and whose last byte must be written by a time; 0: at any.
+	Send(server logic.ServerID, wait, wholeBy logic.Millis, done func(End)) Attempt
 	Finish(Answer)
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -95,7 +95,7 @@
 
 func (x *exchange) Arrival() logic.Arrival { return x.arrival }
 func (x *exchange) Finish(a Answer)        { x.answers <- a }
-func (x *exchange) Send(s logic.ServerID, wait logic.Millis, done func(End)) Attempt {
+func (x *exchange) Send(s logic.ServerID, wait, _ logic.Millis, done func(End)) Attempt {
 	c := &copyOf{server: s, wait: wait, done: done, written: x.written, aborted: make(chan struct{})}
 	x.sent <- c
 	return c
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -3,7 +3,9 @@
 import (
 	"math"
 	"strconv"
+	"time"
 
+	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/logic"
 )
@@ -49,10 +51,14 @@
 }
 
 // Send starts an attempt; the engine calls it for each of the module's sends.
-func (r *request) Send(server logic.ServerID, wait logic.Millis, done func(engine.End)) engine.Attempt {
+func (r *request) Send(server logic.ServerID, wait, wholeBy logic.Millis, done func(engine.End)) engine.Attempt {
 	if math.IsInf(wait, 1) { // it will wait so long once the body has come
 		wait = r.wait
 	}
 	relayed := &r.desk.o.Count.Operations.For(r.class.Name).Relayed
-	return r.desk.o.Send(server, engine.Copy{Bytes: r.wire.bytes(wait), Body: r.wire.large, Wrote: relayed.Inc}, done)
+	c := engine.Copy{Bytes: r.wire.bytes(wait), Body: r.wire.large, Wrote: relayed.Inc}
+	if wholeBy > 0 {
+		c.WholeBy = time.Now().Add(clock.Span(wholeBy - r.desk.o.Clock.Now()))
+	}
+	return r.desk.o.Send(server, c, done)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -37,7 +37,7 @@
 // New makes a roster with the inventory off.
 func New(c Catalog, news News) *Roster { return &Roster{catalog: c, news: news} }
 
-// Address is where a server listens; false for one that has left the list.
+// Address is where a server listens; false for one that has left the list, or is to get nothing new.
 func (r *Roster) Address(id logic.ServerID) (string, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -107,9 +107,9 @@
 			delete(r.addresses, id)
 			state = logic.Gone
 		case e.Draining:
+			delete(r.addresses, id)
 			state = logic.Draining
-		}
-		if !e.Gone {
+		default:
 			r.addresses[id] = e.Address
 		}
 		out = append(out, logic.ServerEntry{ID: id, State: state, Zone: e.Zone, Cell: e.Cell, Size: e.Size, Started: e.Started})
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,7 +32,7 @@
 	conn    *conn
 	writing bool // from the moment that the server may get it whole
 	aborted bool
-	unkept  bool // a large body could not be read from where it is kept
+	unkept  bool // a large body could not be read from where it is kept, or came too late for a repeat
 }
 
 // Send starts writing the copy to a server. Done is called once with the outcome, unless Abort comes first.
@@ -79,6 +79,12 @@
 		a.pool.end(c, endGaveUp, nil)
 		return
 	}
+	if !a.copy.InTime() { // the connection came up too late for it, and serves another
+		a.release()
+		a.pool.put(c)
+		a.report(engine.End{Result: logic.Void})
+		return
+	}
 	resp := fasthttp.AcquireResponse()
 	reason, keep := endPanic, false
 	defer func() {
@@ -128,7 +134,7 @@
 func (a *Attempt) exchange(c *conn, resp *fasthttp.Response) (answer, string, error) {
 	c.requests++
 	if err := a.write(c); err != nil {
-		a.unkept = errors.Is(err, body.ErrNoRoom) || errors.Is(err, body.ErrKeep)
+		a.unkept = errors.Is(err, body.ErrNoRoom) || errors.Is(err, body.ErrKeep) || errors.Is(err, engine.ErrTooLate)
 		a.mu.Lock()
 		a.writing = false // the last byte was never written: the server cannot have begun
 		a.mu.Unlock()
@@ -145,6 +151,9 @@
 		return err
 	}
 	return a.copy.Body.Pieces(func(piece []byte, last bool) error {
+		if last && !a.copy.InTime() {
+			return engine.ErrTooLate
+		}
 		if last {
 			a.mu.Lock()
 			a.writing = true
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,7 +21,7 @@
 	endBadAnswer  = "bad_answer"       // the answer could not be parsed, was too long or broke off
 	endWrite      = "write_failed"     // broke before the request was written whole
 	endAsked      = "server_asked"     // the answer said that it would close
-	endGone       = "address_gone"     // the server left the list or moved
+	endGone       = "address_gone"     // the server left the list, drains or moved
 	endSpare      = "spare"            // idle beside another one, where nodes are many
 	endEvicted    = "descriptor_limit" // made room for another
 	endExit       = "exit"             // the node ends
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,7 +20,7 @@
 // janitorEvery is how often idle connections are looked through; well under any idle time in use.
 const janitorEvery = time.Second
 
-// Addresses tells where servers listen.
+// Addresses tells where servers listen that may be sent to; false for one that is gone or drains.
 type Addresses interface {
 	Address(logic.ServerID) (string, bool)
 }
@@ -81,7 +81,7 @@
 	for end := p.end; ; end = p.drop { // the first one counts as taken by whoever asked
 		c := p.pop(id)
 		if c == nil {
-			return p.dial(ctx, id, addr)
+			return p.fresh(ctx, id, addr)
 		}
 		switch {
 		case c.addr != addr:
@@ -97,6 +97,20 @@
 	}
 }
 
+// fresh opens a connection. A server that was told to drain, left or moved while it came up gets nothing on it: the grace
+// runs from the telling, however long connections take.
+func (p *Pool) fresh(ctx context.Context, id logic.ServerID, addr string) (*conn, error) {
+	c, err := p.dial(ctx, id, addr)
+	if err != nil {
+		return nil, err
+	}
+	if now, ok := p.o.Addresses.Address(id); !ok || now != addr {
+		p.end(c, endGone, nil)
+		return nil, errAddress
+	}
+	return c, nil
+}
+
 // stale tells whether an idle connection has stood so long that the server may close it.
 func (p *Pool) stale(c *conn) bool {
 	limit := time.Duration(float64(p.o.Idle) * idleShare)
--- a/logic/api.go
+++ b/logic/api.go
@@ -235,9 +235,10 @@
 
 // Send starts an attempt; a request's attempts are numbered from 0 in this order.
 type Send struct {
-	ID     RequestID
-	Server ServerID
-	StopAt Millis // when the attempt is given up; 0: when the client does
+	ID      RequestID
+	Server  ServerID
+	StopAt  Millis // when the attempt is given up; 0: when the client does
+	WholeBy Millis // a copy not written whole by then must not be: its repeats are dropped no longer; 0: no such end
 }
 
 // Cancel stops waiting for one attempt.
--- /dev/null
+++ b/logic/crossing_test.go
@@ -0,0 +1,55 @@
+package logic
+
+import "testing"
+
+// TestAnEntryOfOneGoneMovesNoGroup: the entry of a server that is gone may lack its cell. A keyed request that may have run
+// there stays bound to the group that it ran in, which an entry of zeros took for cell 0.
+func TestAnEntryOfOneGoneMovesNoGroup(t *testing.T) {
+	for name, told := range map[string]ServerEntry{
+		"gone":       {ID: "s1", State: Gone},
+		"drains":     {ID: "s1", State: Draining, Zone: "z", Cell: 0, Size: 1},
+		"moved cell": {ID: "s1", Zone: "z", Cell: 0, Size: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, settings(), server3(2)[1]) // s1, of cell 1
+			id, acts := b.arrive("put", 2000)
+			if sentTo(acts) != "s1" {
+				t.Fatalf("not sent to s1: %v", acts)
+			}
+			b.step(ServerList{Form: ListDelta, Entries: []ServerEntry{told, {ID: "s0", Zone: "z", Cell: 0, Size: 1}}})
+			b.now += 10
+			acts = b.end(id, 0, "s1", Broken, 10)
+			if to := sentTo(acts); to != "" {
+				t.Errorf("a repeat went to %s of another cell", to)
+			}
+			if count[Fail](acts) != 1 {
+				t.Errorf("want a failure at once, got %v", acts)
+			}
+		})
+	}
+}
+
+// TestARepeatIsWholeWithinItsWindow: a repeat says until when it may be written, which is the end of the window of the first
+// copy that may have run; first copies, and those of other classes, have no such end.
+func TestARepeatIsWholeWithinItsWindow(t *testing.T) {
+	for class, want := range map[string]Millis{"put": 1000, "read": 0} {
+		b := newBed(t, settings(), ServerEntry{ID: "s0", Zone: "z", Size: 1}, ServerEntry{ID: "s1", Zone: "z", Size: 1})
+		began := b.now
+		id, acts := b.arrive(class, 2000)
+		first := acts[len(acts)-1].(Send)
+		b.now += 100
+		acts = b.end(id, 0, first.Server, Broken, 100)
+		var again Send
+		for _, a := range acts {
+			if s, ok := a.(Send); ok {
+				again = s
+			}
+		}
+		if want > 0 {
+			want += began
+		}
+		if first.WholeBy != 0 || again.Server == "" || again.WholeBy != want {
+			t.Errorf("%s: first %+v, repeat %+v, want it whole by %v", class, first, again, want)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -238,11 +238,11 @@
 	l.do(SetTimer{"ask", l.askAt})
 }
 
-// learn takes in one entry. A server that started anew begins without a past.
+// learn takes in one entry. A server that started anew, or has another place, begins without a past.
 func (l *Logic) learn(e ServerEntry) {
 	s := l.servers[e.ID]
-	if s != nil && (e.State != Ready || e.Started == s.Started) {
-		s.ServerEntry, s.reach = e, l.zone(e.Zone)
+	if s != nil && (e.State != Ready || e.Started == s.Started && e.Zone == s.Zone && e.Cell == s.Cell) {
+		s.State, s.Size = e.State, e.Size // what ran there stays in its group, which an entry of one gone may lack
 		return
 	}
 	fresh := &server{ServerEntry: e, outcomeAt: l.now, budget: tokens{left: l.rng.Float64(), at: l.now},
@@ -926,7 +926,7 @@
 	s.lookedAt = -1
 	s.open = append(s.open, r)
 	l.outstanding++
-	l.do(Send{ID: r.id, Server: s.ID, StopAt: r.expires})
+	l.do(Send{ID: r.id, Server: s.ID, StopAt: r.expires, WholeBy: r.boundTo})
 	l.wakeSweep()
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -350,7 +350,7 @@
 // ran marks that an attempt may have run: the first one binds a keyed request's repeats.
 func (r *request) ran(a *attempt) {
 	r.mayRun = true
-	if r.anchor == nil || a.sentAt+r.class.Window < r.boundTo {
+	if r.class.Effect == Keyed && (r.anchor == nil || a.sentAt+r.class.Window < r.boundTo) {
 		r.anchor, r.boundTo = a.server, a.sentAt+r.class.Window
 	}
 }
