Take nothing over from another customer's process, and no records under other settings

Seen: reading handover and node/upgrade line by line. The place where two processes meet hangs on the clients' address alone. A process with another name, other classes, tenants, limits and discovery took the listener, the list and the module's records of whoever served there, by class and tenant name; the clients of both reached both. Where a killed process had left its socket, the next one shared the address (SO_REUSEPORT) with whoever listened there by then. Ruled out: the ids in hand and a drain by hand (of the node; of no settings), the descriptor of the listener itself. Change: each side says whose process it is: name, discovery, a digest of the settings. One node is of one name and has the same discovery or the same settings. The old side hands another node nothing; the new one does not start, in one line that names ROUTER_LISTEN. The list goes with its discovery, the module's records with the settings (log: handover_part); records now wait for the first list that has servers. A version that does not say who it is still hands over its listener. Tests: TestAnotherCustomersProcessGivesNothing, TestChangedSettingsTakeNoRecords and TestAddressOfOneKilledIsNotShared with the built node, seen failing without the mend (both started; one server avoided for another class); TestAnotherNodeGetsNothing.

--- a/cmd/tackhub/upgrade_test.go
+++ b/cmd/tackhub/upgrade_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"tackhub.example/tackhub/internal/handover"
 )
 
@@ -241,3 +243,89 @@
 		})
 	}
 }
+
+// TestAnotherCustomersProcessGivesNothing has a process of another customer serve at the same address with the same $TMPDIR:
+// by name, or by its discovery and settings. Taking its listener would mix the clients of both.
+func TestAnotherCustomersProcessGivesNothing(t *testing.T) {
+	s := startServer(t, "s1", say(200, "done"))
+	for name, change := range map[string]func(*setup){
+		"name": func(s *setup) { s.env = append(s.env, "ROUTER_NAME=n9") },
+		"discovery and settings": func(s *setup) {
+			s.discovery, s.settings = startDiscovery(t, nil).addr, strings.Replace(testSettings, `"name":"look"`, `"name":"seek"`, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := upgradable(t, s)
+			eventually(t, "the meeting place", func() bool { _, err := os.Stat(handover.Path(u.dir, u.old.addr)); return err == nil })
+			other := u.setup(freeAddress(t))
+			change(&other)
+			p := launch(t, u.old.addr, other)
+			if code := p.exit(); code == 0 || !strings.Contains(p.log.String(), "ROUTER_LISTEN") {
+				t.Errorf("exit %d, log %s", code, p.log)
+			}
+			if a := u.old.mustAsk(request("look", 1400)); a.status != 200 || stats(t, u.door).Open != 0 {
+				t.Errorf("the process that serves: %d", a.status)
+			}
+			if p, door := u.next(); healthy(door) != 200 || !strings.Contains(p.log.String(), `"code":"handover"`) {
+				t.Error("its own next version cannot take over any more")
+			}
+		})
+	}
+}
+
+// TestChangedSettingsTakeNoRecords: in an upgrade of one node the class "look" becomes another one, and the list another
+// discovery's. What was counted for the one must not count for the other.
+func TestChangedSettingsTakeNoRecords(t *testing.T) {
+	s1, s2 := startServer(t, "s1", say(200, "done")), startServer(t, "s2", say(200, "done"))
+	for name, change := range map[string]func(*setup){
+		"settings":  func(s *setup) { s.settings = strings.Replace(testSettings, `"name":"look"`, `"name":"seek"`, 1) },
+		"discovery": func(s *setup) { s.discovery = startDiscovery(t, members(s2)).addr },
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := upgradable(t, s1, s2)
+			for range 20 {
+				u.old.mustAsk(request("look", 1400))
+			}
+			s2.behave(reset)
+			defer s2.behave(say(200, "done"))
+			eventually(t, "exclusion", func() bool {
+				u.old.mustAsk(request("look", 1400))
+				return stats(t, u.door).Avoided == 1
+			})
+			door := freeAddress(t)
+			next := u.setup(door)
+			change(&next)
+			p := launch(t, u.old.addr, next)
+			eventually(t, "the new process's yes", func() bool { return healthy(door) == 200 })
+			entries := map[string]int{"settings": 2, "discovery": 1}[name]
+			eventually(t, "its list", func() bool { return stats(t, door).Entries == entries })
+			avoided := map[string]int{"settings": 0, "discovery": 1}[name] // the same settings' records of a server that both list
+			eventually(t, "its records", func() bool { return stats(t, door).Avoided >= avoided })
+			if f := stats(t, door); f.Avoided != avoided || !strings.Contains(p.log.String(), `"code":"handover_part"`) {
+				t.Errorf("avoids %d of %d servers, want %d", f.Avoided, f.Entries, avoided)
+			}
+		})
+	}
+}
+
+// TestAddressOfOneKilledIsNotShared: what a killed process left in $TMPDIR says nothing of who listens there now.
+func TestAddressOfOneKilledIsNotShared(t *testing.T) {
+	u := upgradable(t, startServer(t, "s1", say(200, "done")))
+	eventually(t, "the meeting place", func() bool { _, err := os.Stat(handover.Path(u.dir, u.old.addr)); return err == nil })
+	_ = u.old.cmd.Process.Kill()
+	<-u.old.done
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		cerr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+		return errors.Join(cerr, err)
+	}}
+	l, err := config.Listen(t.Context(), "tcp", u.old.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	p := launch(t, u.old.addr, u.setup(freeAddress(t)))
+	if code := p.exit(); code == 0 || !strings.Contains(p.log.String(), "ROUTER_LISTEN") {
+		t.Errorf("exit %d, log %s", code, p.log)
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -34,6 +34,29 @@
 // ErrNone says that there is no process to take over from.
 var ErrNone = errors.New("no process to take over from")
 
+// ErrGone says that the process that left its name there has ended.
+var ErrGone = errors.New("the process before has gone")
+
+// ErrOther says that another node's process serves at the address.
+var ErrOther = errors.New("another node serves at this address")
+
+// Identity is whose process one is. The place where processes meet hangs on the clients' address alone, and whoever is met
+// there may be another customer's.
+type Identity struct {
+	Name      string `json:"node,omitempty"`
+	Discovery string `json:"discovery,omitempty"`
+	Settings  string `json:"settings,omitempty"` // a digest
+}
+
+// known tells whether a process said who it is; versions before this one do not.
+func (i Identity) known() bool { return i.Name != "" }
+
+// Same tells whether two processes are one node: of one name, and with the same discovery or the same settings, either of
+// which an upgrade may change.
+func (i Identity) Same(o Identity) bool {
+	return i.Name == o.Name && (i.Discovery == o.Discovery || i.Settings == o.Settings)
+}
+
 // Path is where the processes at one clients' address meet.
 func Path(dir, listen string) string {
 	h := fnv.New64a()
@@ -45,6 +68,7 @@
 type Message struct {
 	Version int             `json:"tackhub_handover,omitempty"`
 	Listen  string          `json:"listen,omitempty"`
+	Who     Identity        `json:"who,omitzero"`
 	Want    string          `json:"want,omitempty"`  // "state": asks for it
 	State   json.RawMessage `json:"state,omitempty"` // what the old process knows
 	Ready   bool            `json:"ready,omitempty"` // the new process serves, or the old one has noted it
@@ -114,12 +138,13 @@
 // Heir is the new process's side.
 type Heir struct {
 	Listener *net.TCPListener // the one that clients come to
+	Before   Identity         // of the old process; empty where its version does not say
 	link     link
 }
 
-// Take asks the process that serves at the address for its listener. ErrNone: there is none; any other error: there is
-// something that cannot hand over.
-func Take(dir, listen string) (*Heir, error) {
+// Take asks the process that serves at the address for its listener. ErrNone: there is none; ErrGone: it has ended; ErrOther:
+// it is another node's; any other error: there is something that cannot hand over.
+func Take(dir, listen string, who Identity) (*Heir, error) {
 	path := Path(dir, listen)
 	info, err := os.Lstat(path)
 	switch {
@@ -135,11 +160,14 @@
 		conn, err = net.DialTimeout("unix", p, stepTime)
 		return err
 	})
+	if errors.Is(err, unix.ECONNREFUSED) { // it was killed; whoever listens at the address now is somebody else
+		return nil, ErrGone
+	}
 	if err != nil {
 		return nil, err
 	}
 	h := &Heir{link: link{conn: conn.(*net.UnixConn)}}
-	if h.Listener, err = h.hello(listen); err != nil {
+	if h.Listener, err = h.hello(listen, who); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -147,8 +175,8 @@
 }
 
 // hello exchanges the first messages; the listener comes with the first byte of the old process's.
-func (h *Heir) hello(listen string) (*net.TCPListener, error) {
-	if err := h.link.write(Message{Version: Version, Listen: listen}); err != nil {
+func (h *Heir) hello(listen string, who Identity) (*net.TCPListener, error) {
+	if err := h.link.write(Message{Version: Version, Listen: listen, Who: who}); err != nil {
 		return nil, err
 	}
 	if err := h.link.conn.SetReadDeadline(time.Now().Add(stepTime)); err != nil {
@@ -162,16 +190,20 @@
 	if n == 0 {
 		return nil, errors.New("the old process closed")
 	}
-	file, err := fileOf(rights[:have])
-	if err != nil {
-		return nil, err
+	file, ferr := fileOf(rights[:have])
+	if ferr == nil {
+		defer func() { _ = file.Close() }() // FileListener makes its own copy
 	}
-	defer func() { _ = file.Close() }() // FileListener makes its own copy
 	h.link.r = bufio.NewReader(io.MultiReader(&oneByte{first[0], false}, h.link.conn))
 	m, err := h.link.read(stepTime)
+	h.Before = m.Who
 	switch {
 	case err != nil:
 		return nil, err
+	case m.Who.known() && !m.Who.Same(who):
+		return nil, fmt.Errorf("%w: %q", ErrOther, m.Who.Name)
+	case ferr != nil:
+		return nil, ferr
 	case m.Version != Version || m.Listen != listen:
 		return nil, fmt.Errorf("the old process speaks version %d for %q", m.Version, m.Listen)
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -14,6 +15,9 @@
 	"testing"
 )
 
+// us is the node whose processes meet.
+var us = Identity{Name: "n0", Discovery: "d", Settings: "s"}
+
 // nothing is a node that has nothing to tell.
 type nothing struct{}
 
@@ -28,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	k, err := Keep(dir, "here", l, nothing{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	k, err := Keep(dir, "here", us, l, nothing{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,7 +48,7 @@
 	}
 	k, old := keep(t, dir)
 	go k.Run(t.Context())
-	heir, err := Take(dir, "here")
+	heir, err := Take(dir, "here", us)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,21 +73,41 @@
 }
 
 func TestNothingToTake(t *testing.T) {
-	if _, err := Take(t.TempDir(), "here"); err != ErrNone {
+	if _, err := Take(t.TempDir(), "here", us); err != ErrNone {
 		t.Errorf("an empty place: %v", err)
 	}
 	dir := t.TempDir()
 	if err := os.WriteFile(Path(dir, "here"), nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Take(dir, "here"); err == nil || err == ErrNone {
+	if _, err := Take(dir, "here", us); err == nil || err == ErrNone {
 		t.Errorf("a foreign file: %v", err)
 	}
-	if _, err := Keep(dir, "here", nil, nothing{}, nil); err == nil {
+	if _, err := Keep(dir, "here", us, nil, nothing{}, nil); err == nil {
 		t.Error("a foreign file made way")
 	}
 }
 
+// TestAnotherNodeGetsNothing: the place hangs on the clients' address alone.
+func TestAnotherNodeGetsNothing(t *testing.T) {
+	dir := t.TempDir()
+	k, _ := keep(t, dir)
+	go k.Run(t.Context())
+	for _, other := range []Identity{{Name: "n1", Discovery: "d", Settings: "s"}, {Name: "n0", Discovery: "e", Settings: "t"}} {
+		if h, err := Take(dir, "here", other); !errors.Is(err, ErrOther) || h != nil {
+			t.Errorf("%+v: %v", other, err)
+		}
+	}
+	for _, same := range []Identity{us, {Name: "n0", Discovery: "e", Settings: "s"}, {Name: "n0", Discovery: "d", Settings: "t"}} {
+		h, err := Take(dir, "here", same)
+		if err != nil || h.Before != us {
+			t.Fatalf("%+v: %v", same, err)
+		}
+		_ = h.Listener.Close()
+		h.Close()
+	}
+}
+
 // TestNameGoesWithItsOwner: the next process's must stay.
 func TestNameGoesWithItsOwner(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/handover/keeper.go
+++ b/internal/handover/keeper.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io/fs"
 	"log/slog"
 	"net"
@@ -35,6 +36,7 @@
 type Keeper struct {
 	path     string
 	listen   string
+	who      Identity
 	clients  *net.TCPListener
 	node     Node
 	log      *slog.Logger
@@ -47,8 +49,8 @@
 
 // Keep waits under the address's name for the next process. What a process before this one left there makes way; what is
 // no socket stays and is an error.
-func Keep(dir, listen string, clients *net.TCPListener, node Node, log *slog.Logger) (*Keeper, error) {
-	k := &Keeper{path: Path(dir, listen), listen: listen, clients: clients, node: node, log: log}
+func Keep(dir, listen string, who Identity, clients *net.TCPListener, node Node, log *slog.Logger) (*Keeper, error) {
+	k := &Keeper{path: Path(dir, listen), listen: listen, who: who, clients: clients, node: node, log: log}
 	info, err := os.Lstat(k.path)
 	if err == nil && info.Mode()&fs.ModeSocket == 0 {
 		return nil, errors.New(k.path + " is no socket")
@@ -143,6 +145,10 @@
 	if err != nil {
 		return err
 	}
+	if m.Who.known() && !m.Who.Same(k.who) { // it is told whose place this is, and gets nothing
+		return errors.Join(fmt.Errorf("node %q asked for the listener of %q", m.Who.Name, k.who.Name),
+			l.write(Message{Version: Version, Listen: k.listen, Who: k.who}))
+	}
 	// Also to another version: its own check tells it so, in words.
 	if err := k.hand(l); err != nil {
 		return err
@@ -191,7 +197,7 @@
 // hand sends the first message with the listener. Its descriptor is lent as it is: File would set the one queue of both
 // processes to blocking.
 func (k *Keeper) hand(l *link) error {
-	raw, err := json.Marshal(Message{Version: Version, Listen: k.listen})
+	raw, err := json.Marshal(Message{Version: Version, Listen: k.listen, Who: k.who})
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,6 +157,9 @@
 // ListNews tells the module.
 func (l lateNews) ListNews(list logic.ServerList) {
 	l.n.engine.ListNews(list)
+	if len(list.Entries) == 0 { // the list itself may not have been taken over
+		return
+	}
 	if from := l.n.legacy.Swap(nil); from != nil { // of servers that the module has heard of by now
 		l.n.engine.Tell(logic.Inherited{State: *from})
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	who := identity(&c)
 	listener, heir, from, err := takeOver(&c, log)
 	if err != nil {
 		return err
@@ -89,7 +90,7 @@
 	go n.onSignals(stop, listener, log)
 	go reportOn(ctx, report, log, count)
 	go n.reloadOn(ctx, reload, running, edge, log)
-	n.upgrade.serve(ctx, c.Listen, listener)
+	n.upgrade.serve(ctx, c.Listen, who, listener)
 	n.serving.Store(true)
 	err = n.ingress.Serve(listener)
 	n.subsystems.Stop()
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +11,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 
@@ -45,10 +48,33 @@
 	succeeded atomic.Bool // the next process serves
 }
 
+// identity is whose process this is. Everything that is held by a class's, a tenant's or a server's name is the settings'.
+func identity(c *config.Config) handover.Identity {
+	raw, err := json.Marshal(c.Settings)
+	if err != nil { // an endless number, which no file can have: then nothing is the same
+		raw = []byte(c.Name + c.Listen + strconv.Itoa(os.Getpid()))
+	}
+	sum := sha256.Sum256(raw)
+	return handover.Identity{Name: c.Name, Discovery: c.Discovery, Settings: hex.EncodeToString(sum[:])}
+}
+
+// keepFor leaves of what the process before knew what is this one's as well. The list goes with its discovery, where
+// revisions compare; the module's records with the settings, since a class or a tenant of the same name need not be the
+// same. One that does not say who it is has neither known.
+func (l *legacy) keepFor(before, now handover.Identity) {
+	if before.Discovery != now.Discovery {
+		l.List = catalog.List{}
+	}
+	if before.Settings != now.Settings {
+		l.Module = logic.State{}
+	}
+}
+
 // takeOver gets the clients' listener: from the process that serves, where there is one, else anew. What the process
 // before told of the list replaces what the configuration knows.
 func takeOver(c *config.Config, log *slog.Logger) (*net.TCPListener, *handover.Heir, *legacy, error) {
-	heir, err := fromOld(c.Listen)
+	who := identity(c)
+	heir, err := fromOld(c.Listen, who)
 	if err == nil {
 		from := &legacy{}
 		raw, serr := heir.State()
@@ -59,25 +85,31 @@
 			log.Warn("the process before told nothing that can be read", "code", "handover_failed", "error", serr)
 			return heir.Listener, heir, nil, nil
 		}
+		if from.keepFor(heir.Before, who); heir.Before != who {
+			log.Warn("the process before has other settings or another discovery: what hangs on them is not taken over",
+				"code", "handover_part", "list", len(from.List.Members) > 0, "records", len(from.Module.Servers) > 0)
+		}
 		if len(from.List.Members) > 0 {
 			c.Known = from.List
 		}
 		return heir.Listener, heir, from, nil
 	}
-	before := !errors.Is(err, handover.ErrNone)
-	if before {
+	if errors.Is(err, handover.ErrOther) { // nor may the address be shared with it
+		return nil, nil, nil, fmt.Errorf("ROUTER_LISTEN: %s: %w", c.Listen, err)
+	}
+	if !errors.Is(err, handover.ErrNone) {
 		log.Warn("nothing can be taken over, starting plainly", "code", "handover_failed", "error", err)
 	}
-	l, err := listen(c.Listen, before)
+	l, err := listen(c.Listen, !errors.Is(err, handover.ErrNone) && !errors.Is(err, handover.ErrGone))
 	return l, nil, nil, err
 }
 
-func fromOld(address string) (*handover.Heir, error) {
+func fromOld(address string, who handover.Identity) (*handover.Heir, error) {
 	dir := os.Getenv("TMPDIR")
 	if dir == "" {
 		return nil, handover.ErrNone
 	}
-	return handover.Take(dir, address)
+	return handover.Take(dir, address, who)
 }
 
 // listen opens the clients' address. Beside a process that cannot hand over, both listen there for a while; without a
@@ -118,14 +150,16 @@
 	if from == nil {
 		return
 	}
-	u.n.legacy.Store(&from.Module)
+	if len(from.Module.Servers) > 0 {
+		u.n.legacy.Store(&from.Module)
+	}
 	if from.Drained {
 		u.n.ingress.DrainByHand()
 	}
 }
 
 // serve tells the process before that this one serves, and waits for the next.
-func (u *upgrade) serve(ctx context.Context, address string, clients *net.TCPListener) {
+func (u *upgrade) serve(ctx context.Context, address string, who handover.Identity, clients *net.TCPListener) {
 	defer func() { u.n.ending.Go(func() { u.tell(ctx) }) }() // once both sides are known
 	if u.heir != nil {
 		if err := u.heir.Ready(); err != nil {
@@ -142,7 +176,7 @@
 	if dir == "" {
 		return
 	}
-	keeper, err := handover.Keep(dir, address, clients, u, u.log)
+	keeper, err := handover.Keep(dir, address, who, clients, u, u.log)
 	if err != nil {
 		u.log.Warn("the next version will not be able to take over", "code", "handover_failed", "error", err)
 		return
