Name settings that contradict: classes and tenants twice, spans below 0, reports nobody may ask for

Seen: the variant batumi-freight (settings of our own from tbilisi-builds: reports with probes alone, no probes allowed). The module took reports for granted and held requests for news that never came. Reading settings.ranges with it: a class or a tenant by one name twice was taken, the later one's figures for both; negative times were taken. Change: such reports count as none; a doubled or empty class name, a doubled tenant and negative idle, connect, slack and must-ask times end a start (or leave the last good state at SIGHUP) in one line that names the key. Ruled out: effects, groups, shares, cold figures, windows, deadlines, all checked already. Tests: new rows of TestNewKeysAreReadAndChecked, each seen failing without the change.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,20 +12,27 @@
 	"tackhub.example/tackhub/logic"
 )
 
+type class struct {
+	Name       string  `json:"name"`
+	AimMs      float64 `json:"aim_ms"`
+	AimStretch float64 `json:"aim_stretch"`
+	WindowMs   float64 `json:"dedup_window_ms"`
+	Effect     string  `json:"effect"`
+	Group      string  `json:"group"`
+	HardMs     float64 `json:"hard_limit_ms"`
+	LateShare  float64 `json:"late_share"`
+	Streamed   bool    `json:"streamed"`
+	Worth      float64 `json:"worth"`
+}
+
+type realm struct {
+	Name  string  `json:"name"`
+	Quota float64 `json:"quota_per_s"`
+}
+
 type options struct {
-	Classes []struct {
-		Name       string  `json:"name"`
-		AimMs      float64 `json:"aim_ms"`
-		AimStretch float64 `json:"aim_stretch"`
-		WindowMs   float64 `json:"dedup_window_ms"`
-		Effect     string  `json:"effect"`
-		Group      string  `json:"group"`
-		HardMs     float64 `json:"hard_limit_ms"`
-		LateShare  float64 `json:"late_share"`
-		Streamed   bool    `json:"streamed"`
-		Worth      float64 `json:"worth"`
-	} `json:"classes"`
-	Habits struct {
+	Classes []class `json:"classes"`
+	Habits  struct {
 		MarksRetry bool `json:"marks_retry"`
 	} `json:"client_habits"`
 	CountedBy string `json:"counted_by"`
@@ -74,10 +81,7 @@
 		Peer      float64 `json:"peer"`
 		Probe     float64 `json:"probe"`
 	} `json:"prices"`
-	Realms []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota_per_s"`
-	} `json:"realms"`
+	Realms []realm `json:"realms"`
 	Report struct {
 		How   string   `json:"how"`
 		Names []string `json:"names"`
@@ -141,7 +145,7 @@
 	}
 	set := decisions(&o)
 	loadAt, waitingAt := slices.Index(o.Report.Names, "concurrent"), slices.Index(o.Report.Names, "depth")
-	if o.Report.How == "none" {
+	if o.Report.How == "none" || o.Report.How == "probe" && !o.Limits.Probes { // nobody may ask for them
 		loadAt, waitingAt = -1, -1
 	}
 	set.Reports = loadAt >= 0
@@ -186,6 +190,9 @@
 		if !ok {
 			out = append(out, Fault{at + "effect", fmt.Sprintf("classes[%s].effect: %q is not known", c.Name, c.Effect)})
 		}
+		if c.Name == "" || slices.ContainsFunc(o.Classes[:i], func(b class) bool { return b.Name == c.Name }) {
+			out = append(out, Fault{at + "name", fmt.Sprintf("classes[%d].name: %q is empty or comes twice", i, c.Name)})
+		}
 		if _, known := groups[c.Group]; ok && !known && effect == logic.Keyed {
 			out = append(out, Fault{at + "group", fmt.Sprintf("classes[%s].group: %q is not known", c.Name, c.Group)})
 		}
@@ -239,6 +246,11 @@
 			fault(k.key, "%v is not a share from 0 to 1", k.value)
 		}
 	}
+	for i, r := range o.Realms { // of two by one name the later one's quota would hold for both
+		if slices.ContainsFunc(o.Realms[:i], func(b realm) bool { return b.Name == r.Name }) {
+			fault(fmt.Sprintf("realms[%d].name", i), "%q comes twice", r.Name)
+		}
+	}
 	for i, c := range o.Classes {
 		if !(c.LateShare >= 0 && c.LateShare <= 1) {
 			out = append(out, Fault{fmt.Sprintf("classes[%d].late_share", i),
@@ -246,7 +258,9 @@
 		}
 	}
 	for _, k := range []figure{{"prices.cross_zone", o.Prices.CrossZone}, {"prices.handshake", o.Prices.Handshake}, {"prices.peer", o.Prices.Peer},
-		{"prices.probe", o.Prices.Probe}, {"policy_limits.cpu_us_per_request", o.Limits.CPUPerRequest}} {
+		{"prices.probe", o.Prices.Probe}, {"policy_limits.cpu_us_per_request", o.Limits.CPUPerRequest},
+		{"policy_limits.conn_idle_ms", o.Limits.IdleMs}, {"policy_limits.connect_timeout_ms", o.Limits.ConnectMs},
+		{"obligations.answer_slack_ms", o.Rules.AnswerSlackMs}, {"obligations.must_ask_in_ms", o.Rules.MustAskMs}} {
 		if k.value < 0 {
 			fault(k.key, "%v is under 0", k.value)
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -66,6 +66,12 @@
 	if s, err = with(`"how":"answers"`, `"how":"probe"`); err != nil || !s.Logic.ProbedOnly || !s.Logic.Reports {
 		t.Errorf("read %+v, %v", s.Logic, err)
 	}
+	// Reports that come with probes alone, which nobody may send: the module waited for news that never came.
+	if s, err = with(`"probes":true},"realms":[{"name":"t","quota_per_s":5}],
+ "report":{"how":"answers"`, `"probes":false},"realms":[{"name":"t","quota_per_s":5}],
+ "report":{"how":"probe"`); err != nil || s.Logic.Reports || s.LoadAt != -1 || s.Logic.MayProbe {
+		t.Errorf("reports that nobody may ask for: %+v, %v", s.Logic, err)
+	}
 	for key, change := range map[string][2]string{
 		"goal.nines_wanted":     {`"whole":1}`, `"whole":1,"nines_wanted":0}`},
 		"goal.log_loss_part":    {`"whole":1}`, `"whole":1,"log_loss_part":1.5}`},
@@ -73,6 +79,11 @@
 		"report.how":            {`"how":"answers"`, `"how":"letters"`},
 		"classes[0].late_share": {`"worth":1}`, `"worth":1,"late_share":2}`},
 		"prices.peer":           {`"zone":"a"`, `"zone":"a","prices":{"peer":-1}`},
+		"classes[1].name":       {`"name":"store"`, `"name":"look"`},
+		"classes[0].name":       {`"name":"look",`, ``},
+		"realms[1].name":        {`"quota_per_s":5}`, `"quota_per_s":5},{"name":"t","quota_per_s":9}`},
+		"policy_limits.connect": {`"connect_timeout_ms":250`, `"connect_timeout_ms":-1`},
+		"obligations.answer":    {`"answer_slack_ms":5`, `"answer_slack_ms":-5`},
 		"policy_limits.cpu_us":  {`"probes":true}`, `"probes":true,"cpu_us_per_request":-1}`},
 	} {
 		_, err := with(change[0], change[1])
