Refuse at a planned stop what is not whole when its time could no longer be kept

Seen: reading ingress.drained line by line. A request whose first bytes had come was left alone until the process ended, 0.65 s after the longest deadline. Its last byte may come later than 0.6 s after SIGTERM: it is then taken, and ends without an answer when the process does; likewise a large body whose request was already on its way. Ruled out: connections between requests (closed from 0.45 s on, a crossing request is read), late connections, what lies in the accept queue (the listener closes only when it is empty, at 0.55 s at the earliest), deadlines over the class's own (cut to it, and the drain's time is made of those). Change: from 0.55 s on such connections make way as they do when descriptors run out; their clients get 503 (rejections: draining) while another node may still have time for it. What has come whole by then is served. Test: TestStopTellsHalfRequests with the built node, half a head, half a body, half a large body; seen failing without the mend (the connection was reset at the end). TestStopWithHalfARequestEndsInTime still holds.

--- a/cmd/tackhub/drain_test.go
+++ b/cmd/tackhub/drain_test.go
@@ -184,3 +184,39 @@
 		t.Errorf("ended only after %v", took)
 	}
 }
+
+// TestStopTellsHalfRequests: what is not whole when its time could no longer be kept is refused, while its client can still
+// go elsewhere. It was left until the process ended: a last byte that came before that was taken and never answered.
+func TestStopTellsHalfRequests(t *testing.T) {
+	s := startServer(t, "s1", say(200, "done"))
+	p, d := startWith(t, "", s)
+	big := strings.Repeat("x", 200<<10)
+	for name, raw := range map[string]string{
+		"head":       request("look", 1500)[:30],
+		"body":       strings.TrimSuffix(request("bill", 1500), "12"),
+		"large body": strings.Replace(request("bill", 1500), "Content-Length: 9\r\n\r\namount=12", "Content-Length: 204800\r\n\r\n"+big[:100<<10], 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startNode(t, setup{discovery: d.addr, env: []string{"TMPDIR=" + t.TempDir()}})
+			c := p.connect()
+			c.write(raw)
+			watch := p.connect()
+			eventually(t, "arrival", func() bool {
+				got, ok := p.countsOn(watch)
+				return ok && got.Clients["open"] == 2
+			})
+			p.terminate()
+			if a, err := c.read(); err != nil || a.status != 503 || !a.last {
+				t.Errorf("%v, %v: want a refusal that ends the connection", a, err)
+			}
+			if code := p.exit(); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+		})
+	}
+	p.terminate()
+	p.exit()
+	if n := len(s.requests()); n > 0 {
+		t.Errorf("%d requests went on", n)
+	}
+}
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -144,7 +144,7 @@
 	}
 	end := func(c *conn) bool { return c.doom(endEvicted) }
 	if len(idle) == 0 && least == 0 { // thousands may connect and never finish a request
-		end = (*conn).giveWay
+		end = func(c *conn) bool { return c.giveWay(endEvicted) }
 		for _, c := range s.all() {
 			if d, ok := c.silentFor(); ok && d >= silentLeast {
 				idle = append(idle, idler{c, d})
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -48,17 +48,18 @@
 	server *Server
 	opened time.Time
 
-	mu       sync.Mutex
-	idle     bool // waiting for a request's first byte
-	handled  bool // the last request has its answer, which may yet be written
-	doomed   string
-	reason   string
-	lastRead time.Time
-	since    time.Time // idle since
-	requests int
-	began    time.Time // the request that is coming or in hand
-	pressed  bool      // made way with a request that was not whole: only what is here already is read
-	busy     bool      // a request is in hand: whole, and not yet answered
+	mu        sync.Mutex
+	idle      bool // waiting for a request's first byte
+	handled   bool // the last request has its answer, which may yet be written
+	doomed    string
+	reason    string
+	lastRead  time.Time
+	since     time.Time // idle since
+	requests  int
+	began     time.Time // the request that is coming or in hand
+	pressed   bool      // made way with a request that was not whole: only what is here already is read
+	busy      bool      // a request is in hand: whole, and not yet answered ...
+	uploading bool      // ... but for the rest of a large body
 
 	large *body.File // of the request in hand; the connection's goroutine alone has it and what is still to come of it
 	rest  *paced
@@ -211,13 +212,13 @@
 }
 
 // giveWay ends a connection whose request is not whole. Should the rest have come meanwhile it is still served.
-func (c *conn) giveWay() bool {
+func (c *conn) giveWay(reason string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle || c.busy || c.handled || c.doomed != "" {
+	if c.idle || c.busy && !c.uploading || c.handled || c.doomed != "" {
 		return false
 	}
-	c.doomed, c.pressed = endEvicted, true
+	c.doomed, c.pressed = reason, true
 	return c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -14,6 +14,10 @@
 	// leastFor is the shortest drain: closing the listener resets what its backlog holds.
 	leastFor = 550 * time.Millisecond
 
+	// halfFor is when requests that are not whole are given up: what is whole by then still has its longest deadline, and an
+	// answer's slack, before the drain ends. One whose last byte came later would end without an answer.
+	halfFor = leastFor
+
 	// drainStep is how often a drain looks again; the accept queue is empty when nothing came for so long.
 	drainStep = 10 * time.Millisecond
 
@@ -49,6 +53,9 @@
 		if d, ok := c.idleFor(); ok && (c.served() || d >= firstFor) {
 			c.doom(endDrained)
 		}
+		if since >= halfFor {
+			c.giveWay(endDrained)
+		}
 	}
 	return len(conns) == 0 && (since >= leastFor || s.succeeded.Load()) || since >= s.o.Grace+drainSlack
 }
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -86,7 +86,7 @@
 		small = nil
 	}
 	if err != nil {
-		return s.bodyFault(ctx, err)
+		return s.bodyFault(ctx, c, err)
 	}
 	ctx.Request.SetBodyRaw(small)
 	return 0, ""
@@ -107,7 +107,7 @@
 }
 
 // bodyFault is what a client is told whose body could not be taken.
-func (s *Server) bodyFault(ctx *fasthttp.RequestCtx, err error) (status int, code string) {
+func (s *Server) bodyFault(ctx *fasthttp.RequestCtx, c *conn, err error) (status int, code string) {
 	switch {
 	case errors.Is(err, body.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge, "body_too_large"
@@ -117,11 +117,20 @@
 		ctx.Response.Header.Set("Retry-After", "1")
 		return fasthttp.StatusServiceUnavailable, "no_room"
 	case isTimeout(err):
-		return fasthttp.StatusRequestTimeout, "slow"
+		return slowOr(c)
 	}
 	return fasthttp.StatusBadRequest, "unreadable"
 }
 
+// slowOr is what a client is told whose request was not whole in time: that it was slow, or that the node ends. Then nothing
+// of it has run, and another node may have time for it.
+func slowOr(c *conn) (status int, code string) {
+	if c != nil && c.doomedFor(endDrained) {
+		return fasthttp.StatusServiceUnavailable, "draining"
+	}
+	return fasthttp.StatusRequestTimeout, "slow"
+}
+
 // sayEvery is how often the log tells that there is no room for large bodies: each of them is counted.
 const sayEvery = 10 * time.Second
 
@@ -141,12 +150,22 @@
 // ReadBody reads what is still to come of a large body, and calls ended before its last byte can go on. It tells why the
 // body cannot be taken, and with which status, or "".
 func (c *conn) ReadBody(ctx *fasthttp.RequestCtx, ended func()) (status int, code string) {
-	if _, err := c.large.Fill(c.rest, nil, ended); err != nil {
-		return c.server.bodyFault(ctx, err)
+	c.coming(true)
+	_, err := c.large.Fill(c.rest, nil, ended)
+	c.coming(false)
+	if err != nil {
+		return c.server.bodyFault(ctx, c, err)
 	}
 	return 0, ""
 }
 
+// coming notes whether the rest of a large body is waited for.
+func (c *conn) coming(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uploading = on
+}
+
 func (c *conn) dropBody() {
 	if c.large != nil {
 		c.large.Stop()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -198,14 +198,14 @@
 // unreadable answers what cannot be read as a request. There is nothing to route, and the connection ends.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	status, code := fasthttp.StatusBadRequest, "unreadable"
+	c, _ := ctx.Conn().(*conn)
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
 		status, code = fasthttp.StatusRequestHeaderFieldsTooLarge, "head_too_large"
 	case isTimeout(err):
-		status, code = fasthttp.StatusRequestTimeout, "slow"
+		status, code = slowOr(c)
 	}
-	c, _ := ctx.Conn().(*conn)
 	s.refuse(ctx, c, status, code)
 }
 
