--- a/logic/crossing_test.go
+++ b/logic/crossing_test.go
@@ -53,3 +53,23 @@
 		}
 	}
 }
+
+// TestLongClassesLeaveRoomForWhatIsWorthMore: a class of low worth and a long aim filled the servers until each answer took
+// longer than the whole aim of what is worth most, and they stayed so after the load had gone (batumi-freight, calm+mass:
+// 0.2% in time). It is sent while a server's expected time leaves room for the other, and refused at once beyond.
+func TestLongClassesLeaveRoomForWhatIsWorthMore(t *testing.T) {
+	for took, sent := range map[Millis]bool{60: true, 250: false} {
+		set := settings()
+		set.Classes = []Class{{Name: "track", Effect: Safe, Aim: 1000, HardLimit: 3000, Worth: 1},
+			{Name: "book", Effect: Unsafe, Aim: 200, HardLimit: 400, Worth: 9}}
+		b := newBed(t, set, server3(2)...)
+		for range 40 {
+			b.serve("track", took, allOK)
+		}
+		b.arrive("track", 3000) // so that the next one is not the odd one that finds out
+		_, acts := b.arrive("track", 3000)
+		if got := sentTo(acts) != ""; got != sent || !sent && count[Refuse](acts) != 1 {
+			t.Errorf("servers take %v ms: sent %v, want %v: %v", took, got, sent, acts)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -104,7 +104,7 @@
 		lateAt: math.Inf(1), zones: map[string]*classHealth{}}
 	l.unit, l.feelers.left = math.Inf(1), l.rng.Float64()
 	for i, c := range set.Classes {
-		l.classes[c.Name] = &classState{Class: c, index: i}
+		l.classes[c.Name] = &classState{Class: c, index: i, guard: shortestAbove(set, c)}
 		l.unit = min(l.unit, c.Aim/4) // until measured: four requests make an aim
 		l.trialBy = min(l.trialBy, c.Effect)
 		l.meanWorth += c.Worth / float64(len(set.Classes))
@@ -753,7 +753,7 @@
 		l.quickest, l.quickestAt = best/r.cost, l.now
 	}
 	wait := ahead * l.unit * float64(l.set.Nodes) / float64(n) / math.Round(l.width)
-	return wait+best > l.idleRisk()*l.timeLeft(r)
+	return wait+best > min(l.idleRisk()*l.timeLeft(r), idleShare*r.class.guard)
 }
 
 // allowed says whether the rules let this request go to this server at all.
@@ -843,7 +843,8 @@
 		limit, blind = heldShare*l.timeLeft(r), 0
 		most = math.Round(l.width) // what is late must make nothing else late
 	}
-	best, open, risk := math.Inf(1), l.candidates(r), l.idleRisk()*l.timeLeft(r)
+	limit = min(limit, fitShare*r.class.guard) // spares servers for what is worth more and has less time
+	best, open, risk := math.Inf(1), l.candidates(r), min(l.idleRisk()*l.timeLeft(r), idleShare*r.class.guard)
 	fit := open[:0]
 	whole := r.class.Aim * l.meanWorth / max(1e-3, r.class.Worth) // a request's worth as time
 	for _, s := range open {
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -3,8 +3,21 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 )
 
+// shortestAbove is the shortest aim among the classes that are worth more than this one and have less time; without any
+// such it has no end.
+func shortestAbove(s Settings, c Class) Millis {
+	aim := math.Inf(1)
+	for _, d := range s.Classes {
+		if d.Worth > c.Worth && d.Aim < c.Aim {
+			aim = min(aim, d.Aim)
+		}
+	}
+	return aim
+}
+
 // validate names the setting that makes deciding impossible.
 func validate(s Settings) error {
 	switch {
--- a/logic/state.go
+++ b/logic/state.go
@@ -130,6 +130,7 @@
 type classState struct {
 	Class
 	share
+	guard      Millis // the shortest aim of what is worth more and has less time
 	index      int
 	longestTry Millis // longest time a try was given: a shorter one is cut by the client's total
 }
