--- a/cmd/tackhub/crossing_test.go
+++ b/cmd/tackhub/crossing_test.go
@@ -1,8 +1,15 @@
 package main
 
 import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+
+	"tackhub.example/tackhub/internal/handover"
 )
 
 // slowConnect are settings with which a connection may take its time to come up.
@@ -54,3 +61,97 @@
 	}
 	p.counts().addUp(t)
 }
+
+// TestStopBeforeTheNodeIsReady: the signal comes while the start waits for a process that hangs at the meeting place.
+func TestStopBeforeTheNodeIsReady(t *testing.T) {
+	dir, addr := t.TempDir(), freeAddress(t)
+	l, err := net.Listen("unix", handover.Path(dir, addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	p := launch(t, addr, setup{discovery: startDiscovery(t, nil).addr, env: []string{"TMPDIR=" + dir}})
+	c, err := l.Accept() // it has asked, and waits
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	p.terminate()
+	if code := p.exit(); code != 0 || !strings.Contains(p.log.String(), `"code":"drain"`) {
+		t.Errorf("exit code %d, log %s", code, p.log)
+	}
+}
+
+// TestHalfAnAnswerOfDiscovery: a watch's answer begins and does not end. The node asks anew, and what it then hears counts.
+func TestHalfAnAnswerOfDiscovery(t *testing.T) {
+	s1, s2 := startServer(t, "s1", say(200, "one")), startServer(t, "s2", say(200, "two"))
+	l, err := net.Listen("tcp", freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	list := func(revision int, servers ...*server) string {
+		raw, err := json.MarshalIndent(map[string]any{"revision": revision, "complete": true, "members": members(servers...)}, "", "\t")
+		if err != nil {
+			t.Error(err)
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(raw), raw)
+	}
+	stalled := make(chan struct{})
+	go func() {
+		halves := 0
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for r := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					answer := list(1, s1)
+					switch from := req.URL.Query().Get("from"); {
+					case halves > 0:
+						answer = list(2, s2)
+					case from != "":
+						halves++
+						answer = list(2, s2)[:120]
+						close(stalled)
+					}
+					if _, err := c.Write([]byte(answer)); err != nil {
+						return
+					}
+				}
+			}()
+			<-stalled // so that halves is never touched by two
+		}
+	}()
+	p := startNode(t, setup{discovery: l.Addr().String(),
+		settings: strings.Replace(testSettings, `"cold_from"`, `"must_ask_in_ms":200,"cold_from"`, 1)})
+	<-stalled
+	eventually(t, "the new list", func() bool { a := p.mustAsk(request("look", 1500)); return a.status == 200 && a.body == "two" })
+}
+
+// TestServerThatStartsAnew resets the connection that stands idle: the next request must not be written to it.
+func TestServerThatStartsAnew(t *testing.T) {
+	s := startServer(t, "s1", say(200, "done"))
+	p, _ := startWith(t, "", s)
+	for i := range 10 {
+		if a := p.mustAsk(request("bill", 1500)); a.status != 200 {
+			t.Fatalf("request %d: %d", i, a.status)
+		}
+		s.mu.Lock()
+		for c := range s.conns {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			delete(s.conns, c)
+		}
+		s.mu.Unlock()
+	}
+	if n := len(s.requests()); n != 10 {
+		t.Errorf("%d copies of 10 requests", n)
+	}
+}
