--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -343,29 +343,39 @@
 	})
 }
 
+// deployment is what the time of the news hangs on; graces are some that no figure may be made for.
+type deployment struct {
+	nodes int
+	grace time.Duration
+}
+
+var graces = []deployment{{3, 300 * time.Millisecond}, {300, 300 * time.Millisecond}, {300, 900 * time.Millisecond}}
+
+// listenAsDiscovery gives a listener that the test itself accepts from.
+func listenAsDiscovery(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
 // TestNewsInTimeForAnyGrace guards against figures that fit one deployment: pauses of up to 3 s and answers that are waited
 // for for longer than the list may be late broke the drains of a customer whose grace is 0.3 s (tbilisi-builds, herd+mass,
 // 1,256 times). The stand-in speaks over real connections.
 func TestNewsInTimeForAnyGrace(t *testing.T) {
-	for _, tc := range []struct {
-		nodes int
-		grace time.Duration
-	}{{3, 300 * time.Millisecond}, {300, 300 * time.Millisecond}, {300, 900 * time.Millisecond}} {
+	for _, tc := range graces {
 		t.Run(fmt.Sprintf("%d nodes, %v", tc.nodes, tc.grace), func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
+			l := listenAsDiscovery(t)
 			c := New(Options{Address: l.Addr().String(), Nodes: tc.nodes, Grace: tc.grace,
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: &counters.Counters{}}, List{})
 			if late := toldAfterHold + tc.grace; c.answer+quietLeast >= late {
 				t.Errorf("an answer is waited for for %v beyond the hold, what it misses counts after %v", c.answer, late)
 			}
-			go c.Run(ctx, List{}, deaf{})
+			go c.Run(t.Context(), List{}, deaf{})
 			var failed time.Time
 			for call := range 8 { // discovery is down: each call breaks off, and the pauses have grown to their longest
 				nc, err := l.Accept()
@@ -385,23 +395,14 @@
 // TestNoCallIsWaitedForBeyondTheGrace has discovery come back right after a call that it never answers: waiting for the
 // end of that one kept 288 nodes for 0.6 s with a list of servers that had been told to drain (tbilisi-builds, herd+mass).
 func TestNoCallIsWaitedForBeyondTheGrace(t *testing.T) {
-	for _, tc := range []struct {
-		nodes int
-		grace time.Duration
-	}{{3, 300 * time.Millisecond}, {300, 300 * time.Millisecond}, {300, 900 * time.Millisecond}} {
+	for _, tc := range graces {
 		t.Run(fmt.Sprintf("%d nodes, %v", tc.nodes, tc.grace), func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
+			l := listenAsDiscovery(t)
 			c := New(Options{Address: l.Addr().String(), Nodes: tc.nodes, Grace: tc.grace, MustAsk: 200 * time.Millisecond,
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: &counters.Counters{}}, List{})
 			defer func() { c.current().cutOff() }()
-			go c.Run(ctx, List{}, deaf{})
+			go c.Run(t.Context(), List{}, deaf{})
 			for call := 0; call < 2; { // the first two calls, whichever connection they come on, get no answer
 				nc, err := l.Accept()
 				if err != nil {
