Take a reset of an answer with no length for a failure, not for its end

Stream.more looked ahead with Peek and dropped what it found, to meet it again in the read. The kernel tells of a reset once (ECONNRESET) and of an end (EOF) from then on, so the read found an end and the node passed the part on as a whole 200.

Ruled out: fasthttp's stream (its read gives the error on), chunked and told lengths (same test, cut is seen), answers passed on after 20 ms (same test, shown as broken), HTTP/1.0 clients (they fail alike and for the same reason). Change: more tells the reset itself; a stream that has failed stays failed. Tests: TestAResetIsNoEnd and TestAResetIsTriedAgainWhereHarmless failed before (200 with 11 bytes passed for whole), pass now; TestAResetOfWhatIsPassedOnShows passed before too and holds the neighbours.

--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -44,7 +44,10 @@
 
 // Read gives what has come, and io.EOF once the answer is whole.
 func (s *Stream) Read(p []byte) (int, error) {
-	if s.end {
+	switch {
+	case s.err != nil: // the kernel tells of a reset once, and of an end from then on
+		return 0, s.err
+	case s.end:
 		return 0, io.EOF
 	}
 	if err := s.conn.SetReadDeadline(time.Now().Add(stallMost)); err != nil {
@@ -149,8 +152,10 @@
 	}
 	var began time.Time
 	for b := make([]byte, 0, room); ; {
-		if s.size < 0 && len(b) > 0 && !s.more(began.Add(holdMost)) {
-			return b, nil
+		if s.size < 0 && len(b) > 0 {
+			if more, err := s.more(began.Add(holdMost)); !more {
+				return b, err
+			}
 		}
 		if len(b) == cap(b) {
 			b = append(b, 0)[:len(b)]
@@ -172,13 +177,24 @@
 }
 
 // more waits for something further to read, until a time at the latest. Only so can a wait be given up without losing the
-// place in the answer.
-func (s *Stream) more(until time.Time) bool {
-	if s.conn.r.Buffered() > 0 || s.conn.SetReadDeadline(until) != nil {
-		return true
+// place in the answer. A reset met here must be told here: the next read would find an end, and so, of an answer with no
+// length, a whole one.
+func (s *Stream) more(until time.Time) (bool, error) {
+	if s.conn.r.Buffered() > 0 {
+		return true, nil
+	}
+	if s.err = s.conn.SetReadDeadline(until); s.err != nil {
+		return false, s.err
+	}
+	switch _, err := s.conn.r.Peek(1); {
+	case err == nil, errors.Is(err, io.EOF): // the read finds it again
+		return true, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return false, nil
+	default:
+		s.err = err
+		return false, err
 	}
-	_, err := s.conn.r.Peek(1)
-	return !errors.Is(err, os.ErrDeadlineExceeded) // any other fault shows in the reading
 }
 
 // eof is the body of an answer that has none.
