End an answer that stands still by its request's deadline, not after 5 s

Cause: once its first bytes are passed on a request counts as answered and no timer of the engine's ends it; upload of the rest waited 5 s for each further byte (stallMost), whatever the client's deadline was, and later than half a second after it is lost. Ruled out: the guard and the attempt's timer (both end with the first bytes); small answers of told length (held until whole). Change: the stream knows when its client gives up. What is timed whole ends then; of a large answer, timed by its first bytes, the rest may still come, but it may not stand still for more than 0.4 s from then on.

--- a/cmd/tackhub/noend_test.go
+++ b/cmd/tackhub/noend_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // untold is the head of an answer whose end only the connection's end tells.
@@ -106,3 +107,35 @@
 		}
 	}
 }
+
+// TestAnAnswerThatStandsStillEndsInTime: the server hangs in the middle of an answer that is passed on already. Its client
+// must see within half a second of its deadline that no more comes; it took 5 s. Two seconds leave room for a busy machine.
+func TestAnAnswerThatStandsStillEndsInTime(t *testing.T) {
+	for name, part := range map[string]string{
+		"no length":           untold + "half an ans",
+		"chunks":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhalf an ans\r\n",
+		"a large length":      fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nhalf an ans", 100<<10),
+		"large, of no length": untold + string(large(200<<10)),
+	} {
+		for _, version := range []string{"1.1", "1.0"} {
+			t.Run(name+" to HTTP/"+version, func(t *testing.T) {
+				s := startServer(t, "s1", func(c net.Conn, g got) bool {
+					_, _ = io.WriteString(c, part)
+					return silence(c, g)
+				})
+				p, _ := startWith(t, "", s)
+				c := p.connect()
+				began := time.Now()
+				c.write(strings.Replace(request("bill", 600), "HTTP/1.1", "HTTP/"+version, 1))
+				if a, err := c.read(); err == nil && a.status == 200 {
+					t.Errorf("%d bytes passed for whole", len(a.body))
+				}
+				if took := time.Since(began); took > 2*time.Second {
+					t.Errorf("the client was told after %v of its 600 ms", took)
+				}
+				eventually(t, "one failure", func() bool { return p.counts().Requests["failed"] == 1 })
+				eventually(t, "nothing left open", func() bool { return p.counts().Servers["open"] == 0 })
+			})
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,7 +41,8 @@
 
 // Rest is the part of a large answer that is still coming. Whoever gets it closes it.
 type Rest interface {
-	Size() int64 // of the whole body in bytes, -1 where it is not told
+	Size() int64     // of the whole body in bytes, -1 where it is not told
+	Until(time.Time) // when the client gives the request up; called before the first Read, if at all
 	Read([]byte) (int, error)
 	Close()
 }
--- a/internal/exchange/pass.go
+++ b/internal/exchange/pass.go
@@ -4,10 +4,12 @@
 	"errors"
 	"io"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"tackhub.example/tackhub/internal/body"
+	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/engine"
 )
 
@@ -101,6 +103,8 @@
 		a.Rest.Close()
 		return ending{status: statusNoPiece, kind: engine.Failed}
 	}
+	// From here on no timer but the stream's own ends it: the request counts as answered.
+	a.Rest.Until(time.Now().Add(clock.Span(r.until - r.desk.o.Clock.Now())))
 	p := &passing{r: r, first: a.Body, rest: a.Rest, to: to, store: r.desk.o.Bodies}
 	if a.Rest.Size() < 0 && !ctx.Request.Header.IsHTTP11() {
 		p.plain(ctx, client)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -17,6 +17,10 @@
 	// however slowly; one that gives nothing for so long has gone silent.
 	stallMost = 5 * time.Second
 
+	// stallLate is the same once the request's time is up. Over 64 KiB the first bytes are timed alone, so what still comes is
+	// passed on; but an answer that stands still then is broken off well within the half second after which it is lost.
+	stallLate = 400 * time.Millisecond
+
 	// holdMost is how long an answer whose size is not told is held back to see whether it is a small one, which could be
 	// had again elsewhere if it broke. What is large is timed by its first bytes, and servers may write slowly.
 	holdMost = 20 * time.Millisecond
@@ -37,11 +41,29 @@
 	got  int64 // of the whole body
 	end  bool
 	err  error
+
+	until time.Time // when the client gives the request up; zero: not told
 }
 
 // Size is the whole body's in bytes, what was read before the stream included; -1 where the server did not tell it.
 func (s *Stream) Size() int64 { return s.size }
 
+// Until says when the client gives the request up: an answer that is neither whole nor moving by then is broken off.
+func (s *Stream) Until(t time.Time) { s.until = t }
+
+// due is when the next piece must have come.
+func (s *Stream) due() time.Time {
+	now := time.Now()
+	at := now.Add(stallMost)
+	if s.until.IsZero() || s.until.After(at) {
+		return at
+	}
+	if late := now.Add(stallLate); max(s.size, s.got) > body.Small && late.After(s.until) {
+		return late
+	}
+	return s.until
+}
+
 // Read gives what has come, and io.EOF once the answer is whole.
 func (s *Stream) Read(p []byte) (int, error) {
 	switch {
@@ -50,7 +72,7 @@
 	case s.end:
 		return 0, io.EOF
 	}
-	if err := s.conn.SetReadDeadline(time.Now().Add(stallMost)); err != nil {
+	if err := s.conn.SetReadDeadline(s.due()); err != nil {
 		return 0, err
 	}
 	n, err := s.body.Read(p)
