Share all waits for the list out of the 6 s that news may take, in one place

Watches were held for up to 20 s (32 nodes and more), a waiting time of a call turned away was kept up to 15 s and 3 s more, and the module's own pauses grew to 7.5 s. Change: internal/catalog/pace.go shares 6 s out among hold, wait, pause and answer; the module's longest pause is a part of it (logic.AskPauseMost, 3 s). A watch that falls silent where the list must be asked for is opened anew by the catalog, spread by the number of nodes, before the module hears of a failure. Ruled out: a second call beside each watch (as many calls as the shorter hold, and two answers to one change). Two existing checks name the new fields; the one on waits past the hold is as strict (the same sum, 2 s and the grace).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,58 +18,6 @@
 )
 
 const (
-	// holdFew is how long discovery may hold a watch that has nothing to tell, where nodes are few. A connection that has
-	// gone silent is noticed only after it, so it is well under the minute that discovery allows.
-	holdFew = 5 * time.Second
-
-	// holdMany bounds it where they are many, and few is how many they are where it begins to grow with their number: the
-	// calls of all together are then as many as those of so few.
-	holdMany, few = 20 * time.Second, 8
-
-	// answerWait is how long past the hold an answer may take: the agent is on this machine, and what it
-	// has to tell counts as told 2 s after the hold.
-	answerWait = 1500 * time.Millisecond
-
-	// answerMany is the same where nodes are many and discovery lets their calls wait: seen, 2 s. Who leaves sooner has
-	// waited for nothing, and costs as much.
-	answerMany = 2500 * time.Millisecond
-
-	// retryFirst and retryLongest bound the jittered pause after a failed call: discovery must not be
-	// rushed, nor what it tells come late once it is back.
-	retryFirst   = 50 * time.Millisecond
-	retryLongest = 800 * time.Millisecond
-
-	// callEach for each node is the time over which nodes spread their first calls where they are many, and four times it
-	// the longest pause, both within the bounds below: after failures a few calls a second come from all of them together.
-	// Seen with 36 nodes: discovery had room for four to five whole lists a second. While more were asked for nearly all
-	// waited until they were turned away, and that went on for as long as calls came so fast.
-	callEach = 100 * time.Millisecond
-
-	// firstShare of the drain grace is the longest time over which first calls are spread: what has changed since the list
-	// that the node was given counts as told from its start, as if it had asked, and the answer needs the rest.
-	firstShare = 0.5
-
-	// toldLatest is when what discovery has to tell counts as told at the latest after a call, whether or not the answer
-	// came: the protocol's figure. pauseShare of it, half as much again with jitter, is the longest pause after a call that
-	// failed: two more calls fit in before nothing new may go to a server that the first one would have told of.
-	toldLatest = 6 * time.Second
-	pauseShare = 1.0 / 3
-
-	// graceShare of the drain grace is the longest pause, half as much again with jitter, after a call that got no answer at
-	// all, and quietLeast the shortest such. What a discovery that was silent gets at its return counts as told at once,
-	// whether or not anyone asks just then: the pause and an answer have to fit into the grace, whatever it is. Seen with a
-	// grace of 0.3 s and pauses of up to 3 s: 1,256 requests to servers that had been told to drain, on one day.
-	graceShare = 1.0 / 3
-	quietLeast = 20 * time.Millisecond
-
-	// toldAfterHold is when what a call that may wait misses counts as told, after the wait: the protocol's figure.
-	// silentShare of the grace more is the longest that its answer is waited for; the rest is for asking anew.
-	toldAfterHold = 2 * time.Second
-	silentShare   = 0.25
-
-	// toldMost is the longest waiting time that is believed: a list older than that does more harm than a call.
-	toldMost = 15 * time.Second
-
 	maxList = 8 << 20 // bytes; a fleet of ten thousand servers has less
 
 	path = "/catalog/members"
@@ -86,18 +34,13 @@
 
 // Catalog follows discovery.
 type Catalog struct {
-	hold  time.Duration
-	pause time.Duration // between calls that are turned away, at the longest
-	quiet time.Duration // between calls that get no answer, likewise
-	// answer is how long past the hold an answer may take, spread the time over which first calls are spread; 0: at once.
-	answer, spread time.Duration
-	crowd          time.Duration // in which all nodes together may call once more without rushing discovery; 0: nodes are few
-	ask            bool          // the list is followed only once asked for
-	asked          chan struct{}
-	dial           Dial
-	moved          chan struct{} // discovery has another address
-	log            *slog.Logger
-	count          *counters.Counters
+	pace  pace
+	ask   bool // the list is followed only once asked for
+	asked chan struct{}
+	dial  Dial
+	moved chan struct{} // discovery has another address
+	log   *slog.Logger
+	count *counters.Counters
 
 	running atomic.Bool
 
@@ -127,23 +70,11 @@
 
 // New makes a catalog that holds the list as it was known before.
 func New(o Options, known List) *Catalog {
-	hold, pause, answer, spread, crowd := holdFew, retryLongest, answerWait, time.Duration(0), time.Duration(0)
-	if o.Nodes > few {
-		hold = min(holdMany, hold*time.Duration(o.Nodes)/few)
-		crowd, answer = time.Duration(o.Nodes)*callEach, answerMany
-		pause = min(4*crowd, time.Duration(float64(toldLatest)*pauseShare))
-		spread = min(crowd, time.Duration(float64(o.Grace)*firstShare))
-	}
-	answer = min(answer, toldAfterHold+time.Duration(float64(o.Grace)*silentShare))
-	quiet := min(pause, max(quietLeast, time.Duration(float64(o.Grace)*graceShare)))
-	if o.MustAsk > 0 {
-		hold = min(hold, o.MustAsk/2)
-	}
 	dial := o.Dial
 	if dial == nil {
 		dial = dialTCP
 	}
-	c := &Catalog{dial: dial, hold: hold, pause: pause, quiet: quiet, answer: answer, spread: spread, crowd: crowd, ask: o.Subscribe, asked: make(chan struct{}, 1),
+	c := &Catalog{pace: paceFor(o), dial: dial, ask: o.Subscribe, asked: make(chan struct{}, 1),
 		moved: make(chan struct{}, 1), log: o.Log, count: o.Count, members: map[logic.ServerID]Member{},
 		source: newSource(o.Address, dial)}
 	known.Complete = true
@@ -197,11 +128,11 @@
 	// the list would not begin to.
 	c.tell(known, logic.ListCached)
 	pause, at := retryFirst, int64(-1)
-	if c.spread > 0 {
+	if c.pace.spread > 0 {
 		if len(known.Members) > 0 { // half the calls of a start: what has changed since is all that is needed
 			at = known.Revision
 		}
-		c.rest(ctx, rand.N(c.spread))
+		c.rest(ctx, rand.N(c.pace.spread))
 	}
 	for asked := !c.ask; ctx.Err() == nil; {
 		if !asked && !c.waitAsked(ctx) {
@@ -218,13 +149,13 @@
 		}
 		if !c.ask {
 			var away turnedAway
-			longest := c.quiet
+			longest := c.pace.quiet
 			if errors.As(err, &away) {
-				longest = c.pause
+				longest = c.pace.pause
 			}
 			pause = min(pause, longest)
-			c.rest(ctx, away.after+pause/2+rand.N(pause)) // beyond what was told, so that those turned away together do not come back so
-			pause = max(2*pause, c.crowd/4)
+			c.rest(ctx, c.pace.rest(away.after, pause))
+			pause = max(2*pause, c.pace.crowd/4)
 		}
 	}
 }
@@ -238,8 +169,13 @@
 		var err error
 		if *at < 0 && c.silent && !c.ask {
 			list, err = c.insist(ctx, src)
-		} else {
-			list, err = c.call(src, *at, c.answer)
+		} else if list, err = c.call(src, *at, c.pace.answer); c.ask && *at >= 0 && errors.Is(err, fasthttp.ErrTimeout) {
+			// A watch that has fallen silent is opened anew at once: the module's pause is for calls that fail, and news
+			// may have been waiting for all of the hold already.
+			*at = -1
+			if c.rest(ctx, rand.N(c.pace.anew+1)); src == c.current() {
+				list, err = c.call(src, *at, c.pace.answer)
+			}
 		}
 		if src != c.current() || ctx.Err() != nil {
 			break
@@ -263,16 +199,17 @@
 
 func (t turnedAway) Error() string { return fmt.Sprintf("turned away for %v", t.after) }
 
-// away reads how long to stay away: whole seconds or decimals, or a date (RFC 9110, section 10.2.3).
+// away reads how long to stay away: whole seconds or decimals, or a date (RFC 9110, section 10.2.3). A time beyond what news
+// may take says no more than that one.
 func away(h *fasthttp.ResponseHeader) turnedAway {
 	text := string(h.Peek(fasthttp.HeaderRetryAfter))
 	var after time.Duration
 	if s, err := strconv.ParseFloat(text, 64); err == nil && s > 0 {
-		after = time.Duration(min(s, toldMost.Seconds()) * float64(time.Second))
+		after = time.Duration(min(s, toldLatest.Seconds()) * float64(time.Second))
 	} else if at, err := fasthttp.ParseHTTPDate([]byte(text)); err == nil {
 		after = time.Until(at)
 	}
-	return turnedAway{min(toldMost, max(0, after))}
+	return turnedAway{min(toldLatest, max(0, after))}
 }
 
 // waitAsked waits until the module asks. Another address needs no asking: it goes on with what was asked for.
@@ -320,15 +257,15 @@
 	c.news.ListNews(logic.ServerList{Form: logic.ListFailed})
 }
 
-// call asks once, for the whole list where no version is held; beyond a watch's hold the answer is waited for so long.
+// call asks once: for the whole list where no version is held, whose answer is waited for so long, else by a watch.
 func (c *Catalog) call(src *source, at int64, wait time.Duration) (List, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	uri := "http://" + src.client.Addr + path
 	if at >= 0 {
-		uri += "?from=" + strconv.FormatInt(at, 10) + "&hold_ms=" + strconv.FormatInt(c.hold.Milliseconds(), 10)
-		wait += c.hold
+		uri += "?from=" + strconv.FormatInt(at, 10) + "&hold_ms=" + strconv.FormatInt(c.pace.hold.Milliseconds(), 10)
+		wait = c.pace.hold + c.pace.watch
 	}
 	req.SetRequestURI(uri)
 	if err := src.client.DoTimeout(req, resp, wait); err != nil {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -154,8 +154,8 @@
 }
 
 func TestAway(t *testing.T) {
-	for text, want := range map[string]time.Duration{"": 0, "-1": 0, "1.5": 1500 * time.Millisecond, "1e9": toldMost, "NaN": 0,
-		"noise": 0, "Thu, 01 Jan 1970 00:00:00 GMT": 0, "Fri, 01 Jan 2100 00:00:00 GMT": toldMost} {
+	for text, want := range map[string]time.Duration{"": 0, "-1": 0, "1.5": 1500 * time.Millisecond, "1e9": toldLatest, "NaN": 0,
+		"noise": 0, "Thu, 01 Jan 1970 00:00:00 GMT": 0, "Fri, 01 Jan 2100 00:00:00 GMT": toldLatest} {
 		var h fasthttp.ResponseHeader
 		h.Set("Retry-After", text)
 		if got := away(&h); got.after != want {
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,10 @@
 	closed   bool                 // every call is turned away ...
 	after    string               // ... with this waiting time
 	silent   bool                 // nothing is answered, on connections that are up either
+	seen     map[string]bool      // connections that have called
+	lost     map[string]bool      // connections on which nothing is answered any more, though others are
+	half     bool                 // half of each answer is written, and no more
+	refusing bool                 // no connection comes up
 	last     map[string]time.Time // of each connection's answers
 	conns    map[net.Conn]struct{}
 	calls    int
@@ -43,7 +48,7 @@
 }
 
 func newAgency(servers int) *agency {
-	a := &agency{revision: 1, changed: make(chan struct{}), last: map[string]time.Time{}, conns: map[net.Conn]struct{}{}, stop: make(chan struct{})}
+	a := &agency{revision: 1, changed: make(chan struct{}), last: map[string]time.Time{}, seen: map[string]bool{}, conns: map[net.Conn]struct{}{}, stop: make(chan struct{})}
 	for i := range servers {
 		a.members = append(a.members, Member{ID: fmt.Sprintf("s-%d", i), HostPort: fmt.Sprintf("127.0.0.1:%d", 1000+i), Phase: "SERVING", Size: 1})
 	}
@@ -72,6 +77,22 @@
 	change()
 }
 
+// lose has every connection that is up now go silent for good, while others are served.
+func (a *agency) lose() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lost = map[string]bool{}
+	for addr := range a.seen {
+		a.lost[addr] = true
+	}
+}
+
+func (a *agency) refuses() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refusing
+}
+
 func (a *agency) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
@@ -81,8 +102,9 @@
 	until := time.Now().Add(time.Duration(hold) * time.Millisecond)
 	a.mu.Lock()
 	a.calls++
+	a.seen[r.RemoteAddr] = true
 	fresh := from < 0 || time.Since(a.last[r.RemoteAddr]) > 200*time.Millisecond
-	closed, silent, wait, after := a.closed, a.silent, time.Duration(0), a.after
+	closed, silent, wait, after := a.closed, a.silent || a.lost[r.RemoteAddr], time.Duration(0), a.after
 	if fresh && a.rate > 0 {
 		now := time.Now()
 		if a.free.Before(now) {
@@ -120,7 +142,7 @@
 		}
 		a.mu.Lock()
 	}
-	if a.silent { // gone silent while the watch was held
+	if a.silent || a.lost[r.RemoteAddr] { // gone silent while the watch was held
 		a.mu.Unlock()
 		<-a.stop
 		return
@@ -133,7 +155,15 @@
 		out.Members = append(out.Members, a.members[0])
 	}
 	a.last[r.RemoteAddr] = time.Now()
+	half := a.half
 	a.mu.Unlock()
+	if half {
+		w.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(w, `{"revision":`)
+		_ = http.NewResponseController(w).Flush()
+		<-a.stop
+		return
+	}
 	_ = json.NewEncoder(w).Encode(out)
 }
 
@@ -171,6 +201,7 @@
 type crowd struct {
 	t        *testing.T
 	agencies map[string]*line
+	stands   map[string]*agency
 	dialed   int
 	mu       sync.Mutex
 	cancel   context.CancelFunc
@@ -181,12 +212,12 @@
 
 func newCrowd(t *testing.T) *crowd {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &crowd{t: t, agencies: map[string]*line{}, ctx: ctx, cancel: cancel}
+	return &crowd{t: t, agencies: map[string]*line{}, stands: map[string]*agency{}, ctx: ctx, cancel: cancel}
 }
 
 func (c *crowd) agency(address string, a *agency) {
 	l := &line{accept: make(chan net.Conn), done: make(chan struct{})}
-	c.agencies[address] = l
+	c.agencies[address], c.stands[address] = l, a
 	stand := &http.Server{Handler: a}
 	go func() { _ = stand.Serve(l) }()
 	c.ending = append(c.ending, func() { close(l.done); close(a.stop); _ = stand.Close() })
@@ -198,6 +229,9 @@
 	c.dialed++
 	addr := memoryAddr(fmt.Sprintf("caller-%d", c.dialed))
 	c.mu.Unlock()
+	if a := c.stands[address]; a != nil && a.refuses() {
+		return nil, syscall.ECONNREFUSED
+	}
 	select {
 	case c.agencies[address].accept <- named{there, addr}:
 		return here, nil
@@ -255,7 +289,7 @@
 // took 30 s with 300: servers that had been told to drain went on getting requests (herd+mass, 221 to 561 times).
 func TestNewsReachesHundredsInTime(t *testing.T) {
 	const answer = answerMany + onTheWay
-	longestPause := time.Duration(float64(toldLatest) * pauseShare * 1.5)
+	longestPause := paceFor(Options{Nodes: followers, Grace: grace}).away
 	for _, tc := range []struct {
 		name  string
 		bound time.Duration // from the change, or from when discovery answers again
@@ -372,8 +406,9 @@
 			l := listenAsDiscovery(t)
 			c := New(Options{Address: l.Addr().String(), Nodes: tc.nodes, Grace: tc.grace,
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: &counters.Counters{}}, List{})
-			if late := toldAfterHold + tc.grace; c.answer+quietLeast >= late {
-				t.Errorf("an answer is waited for for %v beyond the hold, what it misses counts after %v", c.answer, late)
+			const toldAfterHold = 2 * time.Second // the protocol's: a silent watch's news counts then, even if the change is older
+			if late := toldAfterHold + tc.grace; c.pace.watch+quietLeast >= late {
+				t.Errorf("an answer is waited for for %v beyond the hold, what it misses counts after %v", c.pace.watch, late)
 			}
 			go c.Run(t.Context(), List{}, deaf{})
 			var failed time.Time
--- a/internal/catalog/insist.go
+++ b/internal/catalog/insist.go
@@ -26,7 +26,7 @@
 		err  error
 	}
 	results, out := make(chan result, insistMost), 0 // room for all: who is late does not wait
-	wait := min(c.answer, insistFor*c.quiet)
+	wait := min(c.pace.answer, insistFor*c.pace.quiet)
 	again := time.NewTimer(0)
 	defer again.Stop()
 	for {
@@ -41,7 +41,7 @@
 					results <- result{list, err}
 				}()
 			}
-			again.Reset(c.quiet/2 + rand.N(c.quiet))
+			again.Reset(c.pace.quiet/2 + rand.N(c.pace.quiet))
 		case r := <-results:
 			out--
 			if away := (turnedAway{}); r.err == nil || src != c.current() || errors.As(r.err, &away) {
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -45,7 +45,7 @@
 }
 
 func (s *source) dial(address string, timeout time.Duration) (net.Conn, error) {
-	nc, err := s.open(address, timeout)
+	nc, err := s.open(address, min(timeout, dialMost))
 	if err != nil {
 		return nil, err
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -55,6 +55,10 @@
 // Goal weighs the parts of the service that the operator counts.
 type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant, Tail, Nines float64 }
 
+// AskPauseMost is the longest that the module waits from a call for the list that failed to the next one, in ms. What waits
+// besides has to fit with it into the time that news may take.
+const AskPauseMost = 1.5 * askLongest
+
 // Settings are what a node is told once, at its start.
 type Settings struct {
 	Node, Nodes int
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,7 +85,7 @@
 	askFirstWait = 200.0   // a first failure may be chance
 	askSpread    = 10.0    // for each other node: a hundred first calls a second in all
 	askEach      = 25.0    // for each other node: turned away together, forty calls a second in all
-	askLongest   = 5000.0  // discovery must not be rushed, nor forgotten
+	askLongest   = 2000.0  // with jitter AskPauseMost, which is all that news may wait for
 	goalMemory   = 30000.0 // time constant of the served shares per class and tenant
 	rateMemory   = 3000.0  // time constant of the tenants' rates
 )
@@ -159,7 +159,7 @@
 func (l *Logic) start() {
 	l.started, l.feelers.at = true, l.now
 	if l.set.Subscribe { // nodes that start together must not all call at once: most calls would fail
-		l.askAt = l.now + l.rng.Float64()*min(askSpread*float64(l.set.Nodes-1), l.askWait())
+		l.askAt = l.now + l.rng.Float64()*min(askSpread*float64(l.set.Nodes-1), l.askWait(), AskPauseMost)
 		l.do(SetTimer{"ask", l.askAt})
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -661,12 +661,16 @@
 	return min(1, max(1/float64(l.set.Nodes), rate/max(1, quota)))
 }
 
+// askLost is when an answer to a call for the list is taken to be lost, in ms: whoever carries calls out tells of each end,
+// and waits for none as long.
+const askLost = 5000
+
 // askWait is the longest time between two calls for the list.
 func (l *Logic) askWait() Millis {
 	if l.set.MustAskIn > 0 {
-		return min(askLongest, l.set.MustAskIn/2)
+		return min(askLost, l.set.MustAskIn/2)
 	}
-	return askLongest
+	return askLost
 }
 
 // probeWait lets answers come in that a node looks at once a tick.
