Look at the client's connection right before the first byte of each attempt

Cause: that a client has left passes its watch, the exchange and the engine's mailbox before an attempt is withdrawn, while a connection that comes up is written on by the attempt itself, with fewer steps. The CoAP back asks too, and keeps a repeat's window, which it did not look at.

--- a/cmd/tackhub/leaving_test.go
+++ b/cmd/tackhub/leaving_test.go
@@ -82,8 +82,9 @@
 // that the kernel drops each SYN. The client's kernel sends the next a second after the first.
 type holdingServer struct {
 	*server
-	t  *testing.T
-	fd int
+	t       *testing.T
+	fd      int
+	fillers int // connections that fill its queue
 }
 
 func startHolding(t *testing.T, id string, act reply) *holdingServer {
@@ -103,13 +104,15 @@
 		t.Fatal(err)
 	}
 	addr := "127.0.0.1:" + strconv.Itoa(sa.(*syscall.SockaddrInet4).Port)
+	fillers := 0
 	for range 2 { // the queue holds one more than it says; the second shows that it is full
 		filler, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
 		if err == nil {
+			fillers++
 			t.Cleanup(func() { _ = filler.Close() })
 		}
 	}
-	h := &holdingServer{server: &server{id: id, addr: addr, act: act, conns: map[net.Conn]bool{}}, t: t, fd: fd}
+	h := &holdingServer{server: &server{id: id, addr: addr, act: act, conns: map[net.Conn]bool{}}, t: t, fd: fd, fillers: fillers}
 	t.Cleanup(func() { _ = syscall.Close(fd) })
 	return h
 }
@@ -187,3 +190,38 @@
 		})
 	}
 }
+
+// TestNothingIsWrittenOnceItsClientHasLeft: the connection that a request waits for is up in the moment in which the node hears
+// that its client has gone. Writing takes fewer steps than that news, which passes the engine.
+func TestNothingIsWrittenOnceItsClientHasLeft(t *testing.T) {
+	patient := strings.NewReplacer(`"connect_timeout_ms":150`, `"connect_timeout_ms":20000`, `"hard_limit_ms":1500`, `"hard_limit_ms":20000`,
+		`"aim_ms":400`, `"aim_ms":20000`).Replace(testSettings)
+	for name, hard := range howTheyLeave {
+		t.Run(name, func(t *testing.T) {
+			s := startHolding(t, "s1", say(200, "done"))
+			p, _ := startWith(t, patient, s.server)
+			c := p.connect()
+			c.write(request("bill", 20_000))
+			eventually(t, "attempt", func() bool { return p.counts().Attempts["open"] == 1 })
+			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+			eventually(t, "standstill", p.stopped)
+			c.leave(hard)
+			s.release()
+			eventually(t, "the connection", func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return len(s.conns) > s.fillers
+			})
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			p.withdrawn(1)
+			if a := p.mustAsk(request("look", 20_000)); a.status != 200 {
+				t.Errorf("the next one: %d", a.status)
+			}
+			for _, g := range s.requests() {
+				if strings.HasPrefix(g.line, "POST /bill") {
+					t.Error("the request was written after its client had left")
+				}
+			}
+		})
+	}
+}
--- a/internal/coap/back/back.go
+++ b/internal/coap/back/back.go
@@ -175,6 +175,10 @@
 		return engine.End{Result: logic.Unreachable}
 	}
 	defer p.release()
+	if refused := a.copy.Refused(); refused != nil {
+		b.o.Count.Outcomes.Inc("unsent")
+		return engine.End{Result: logic.Void, Left: errors.Is(refused, engine.ErrLeft)}
+	}
 	m, body, err := request(raw)
 	if err != nil {
 		b.o.Log.Error("a request cannot be put into CoAP", "code", "coap_request", "error", err)
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -178,6 +178,8 @@
 		Open    Count `json:"open"`    // out now
 		Written Count `json:"written"` // written whole to a server
 		Late    Count `json:"late"`    // ended at the server after they were given up
+		// Unwanted were not written: their clients were seen to have gone in that moment.
+		Unwanted Count `json:"unwanted"`
 	} `json:"attempts"`
 	Outcomes Group `json:"outcomes"` // of attempts, as told to the module
 	GivenUp  Group `json:"given_up"` // requests that the module refused or failed, by its reason
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,6 +37,7 @@
 	Load    logic.Load
 	Body    []byte // of a served one, or the first of it
 	Rest    Rest   // what is still to come of it; nil where it is whole
+	Left    bool   // nothing was written whole, since the client had gone
 }
 
 // Rest is the part of a large answer that is still coming. Whoever gets it closes it.
@@ -86,13 +87,27 @@
 	Wrote func() // called once when the last byte has been written; nil where nobody asks
 	// WholeBy is when the last byte must have been written, or must not be any more; zero: no such end.
 	WholeBy time.Time
+	// Wanted tells whether the client is still there. Asked right before the first byte is written, and before the last piece of
+	// a large body: what the engine knows of a client may have waited behind other events. Nil: it always is.
+	Wanted func() bool
 }
 
 // ErrTooLate says that a copy could not be written whole in time. Nothing that a server could begin has been.
 var ErrTooLate = errors.New("not written whole in time")
 
-// InTime tells whether the last byte may still be written.
-func (c Copy) InTime() bool { return c.WholeBy.IsZero() || time.Now().Before(c.WholeBy) }
+// ErrLeft says that a copy was not written whole since its client has gone. Nothing that a server could begin has been.
+var ErrLeft = errors.New("the client has gone")
+
+// Refused tells why the last byte must not be written any more; nil where it may.
+func (c Copy) Refused() error {
+	switch {
+	case !c.WholeBy.IsZero() && !time.Now().Before(c.WholeBy):
+		return ErrTooLate
+	case c.Wanted != nil && !c.Wanted():
+		return ErrLeft
+	}
+	return nil
+}
 
 // Body is a large body that is kept outside memory.
 type Body interface {
@@ -331,6 +346,11 @@
 			m.end.discard()
 			return
 		}
+		if m.end.Left { // the client's leaving may be waiting behind this
+			e.count.Attempts.Unwanted.Inc()
+			e.leave(m.attempt.call)
+			return
+		}
 		e.ended(m.attempt, *m.end)
 	case m.list != nil:
 		e.step(*m.list)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -263,3 +263,28 @@
 		}
 	}
 }
+
+// TestAnAttemptThatFindsItsClientGoneEndsTheRequest: the module hears of the leaving alone, and has nothing to decide on.
+func TestAnAttemptThatFindsItsClientGoneEndsTheRequest(t *testing.T) {
+	e, s, clk, count := start(t, func(event logic.Event) []logic.Action {
+		if a, ok := event.(logic.Arrival); ok {
+			return []logic.Action{logic.Send{ID: a.ID, Server: "s1", StopAt: a.Expires}}
+		}
+		return nil
+	})
+	x := newExchange(clk.Now() + 60_000)
+	ticket := e.Arrive(x)
+	c := <-x.sent
+	c.done(End{Result: logic.Void, Left: true})
+	want[logic.Dropped](t, s)
+	if end := want[logic.AttemptEnd](t, s); end.Result != logic.Cancelled || !end.Closed {
+		t.Errorf("%+v", end)
+	}
+	ticket.Leave() // as the connection's own watch tells a moment later
+	if !e.Between(func() {}) || count.Attempts.Unwanted.Get() != 1 || count.Attempts.Open.Get() != 0 {
+		t.Errorf("unwanted %d, open %d", count.Attempts.Unwanted.Get(), count.Attempts.Open.Get())
+	}
+	if len(x.answers) > 0 {
+		t.Error("a client that has gone was answered")
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -109,6 +109,7 @@
 // request is one exchange on its way through the stages.
 type request struct {
 	desk    *Desk
+	client  Client
 	taken   taken
 	class   logic.Class
 	wire    outgoing
@@ -125,7 +126,7 @@
 
 // Serve takes one request through all stages. A panic in it ends this request and its connection only.
 func (d *Desk) Serve(ctx *fasthttp.RequestCtx, client Client) {
-	r := &request{desk: d, answer: make(chan engine.Answer, 1)}
+	r := &request{desk: d, client: client, answer: make(chan engine.Answer, 1)}
 	d.o.Count.Requests.Taken.Inc()
 	d.o.Count.Requests.Open.Inc()
 	passing := false
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -56,9 +56,13 @@
 		wait = r.wait
 	}
 	relayed := &r.desk.o.Count.Operations.For(r.class.Name).Relayed
-	c := engine.Copy{Bytes: r.wire.bytes(wait), Body: r.wire.large, Wrote: relayed.Inc}
+	c := engine.Copy{Bytes: r.wire.bytes(wait), Body: r.wire.large, Wrote: relayed.Inc, Wanted: r.wanted}
 	if wholeBy > 0 {
 		c.WholeBy = time.Now().Add(clock.Span(wholeBy - r.desk.o.Clock.Now()))
 	}
 	return r.desk.o.Send(server, c, done)
 }
+
+// wanted tells whether the client is still there. That it has gone reaches the engine behind whatever else has come: hundreds
+// may leave in one moment, and meanwhile a connection comes up or a try ends.
+func (r *request) wanted() bool { return !r.client.Left() }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,7 +32,7 @@
 	conn    *conn
 	writing bool // from the moment that the server may get it whole
 	aborted bool
-	unkept  bool // a large body could not be read from where it is kept, or came too late for a repeat
+	unkept  bool // a large body could not be read from where it is kept, came too late for a repeat, or nobody wants it
 }
 
 // Send starts writing the copy to a server. Done is called once with the outcome, unless Abort comes first.
@@ -79,10 +79,10 @@
 		a.pool.end(c, endGaveUp, nil)
 		return
 	}
-	if !a.copy.InTime() { // the connection came up too late for it, and serves another
+	if refused := a.copy.Refused(); refused != nil { // the connection came up too late for it, and serves another
 		a.release()
 		a.pool.put(c)
-		a.report(engine.End{Result: logic.Void})
+		a.report(void(refused))
 		return
 	}
 	resp := fasthttp.AcquireResponse()
@@ -96,7 +96,7 @@
 		a.pool.finish(c, reason, err)
 	}()
 	got, why, err := a.exchange(c, resp)
-	end := a.outcome(resp, got.body, why)
+	end := a.outcome(resp, got.body, why, err)
 	if !a.release() {
 		reason = endGaveUp
 		a.report(end)
@@ -111,6 +111,11 @@
 	a.report(end)
 }
 
+// void is the end of an attempt that was not written whole, for a reason that is not the server's.
+func void(why error) engine.End {
+	return engine.End{Result: logic.Void, Left: errors.Is(why, engine.ErrLeft)}
+}
+
 // hold gives the attempt its connection; false if it was given up meanwhile.
 func (a *Attempt) hold(c *conn) bool {
 	a.mu.Lock()
@@ -134,7 +139,8 @@
 func (a *Attempt) exchange(c *conn, resp *fasthttp.Response) (answer, string, error) {
 	c.requests++
 	if err := a.write(c); err != nil {
-		a.unkept = errors.Is(err, body.ErrNoRoom) || errors.Is(err, body.ErrKeep) || errors.Is(err, engine.ErrTooLate)
+		a.unkept = errors.Is(err, body.ErrNoRoom) || errors.Is(err, body.ErrKeep) ||
+			errors.Is(err, engine.ErrTooLate) || errors.Is(err, engine.ErrLeft)
 		a.mu.Lock()
 		a.writing = false // the last byte was never written: the server cannot have begun
 		a.mu.Unlock()
@@ -151,10 +157,10 @@
 		return err
 	}
 	return a.copy.Body.Pieces(func(piece []byte, last bool) error {
-		if last && !a.copy.InTime() {
-			return engine.ErrTooLate
-		}
 		if last {
+			if err := a.copy.Refused(); err != nil {
+				return err
+			}
 			a.mu.Lock()
 			a.writing = true
 			a.began = time.Now() // the server cannot begin before
@@ -183,11 +189,11 @@
 }
 
 // outcome tells what became of the attempt.
-func (a *Attempt) outcome(resp *fasthttp.Response, body []byte, reason string) engine.End {
+func (a *Attempt) outcome(resp *fasthttp.Response, body []byte, reason string, err error) engine.End {
 	switch reason {
 	case endWrite:
 		if a.unkept { // our own limit or disk: not the server's fault
-			return engine.End{Result: logic.Void}
+			return void(err)
 		}
 		return engine.End{Result: logic.Unreachable}
 	case endReset, endBadAnswer:
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -349,6 +349,32 @@
 	}
 }
 
+// TestWhatNobodyWantsIsNotWritten: the client has gone while the connection came up, which serves another request then.
+func TestWhatNobodyWantsIsNotWritten(t *testing.T) {
+	addr, accepted := listener(t)
+	p, count := testPool(addresses{"s1": addr}, 8, 8)
+	wanted := false
+	for _, c := range []engine.Copy{
+		{Bytes: []byte("unwanted"), Wanted: func() bool { return wanted }},
+		{Bytes: []byte("too late"), WholeBy: time.Now()},
+	} {
+		ended := make(chan engine.End, 1)
+		p.Send("s1", c, func(e engine.End) { ended <- e })
+		if e := <-ended; e.Result != logic.Void || e.Left != (c.Wanted != nil) {
+			t.Errorf("%s: %s, left %v", c.Bytes, engine.ResultName(e.Result), e.Left)
+		}
+	}
+	wanted = true
+	p.Send("s1", engine.Copy{Bytes: []byte("wanted"), Wanted: func() bool { return wanted }}, func(engine.End) {})
+	got := make([]byte, len("wanted"))
+	if _, err := io.ReadFull(accepted(0), got); err != nil || string(got) != "wanted" {
+		t.Errorf("the first bytes at the server are %q, %v", got, err)
+	}
+	if n := count.Servers.Dialed.Get(); n != 1 {
+		t.Errorf("%d connections, want one", n)
+	}
+}
+
 func TestNoDescriptorIsNotTheServersFault(t *testing.T) {
 	for errno, limit := range map[syscall.Errno]bool{syscall.EMFILE: true, syscall.ENFILE: true,
 		syscall.ECONNREFUSED: false} {
