Pass on what a server still gives of an answer, also after its request's deadline

Cause: broke answers off that stood still for 0.4 s once their time was up, and small ones of untold size at the deadline itself. From TestAnAnswerThatStandsStillEndsInTime the case of a told large size is taken out, since what it asked for lost requests; the new test asks for the contrary.

--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -17,8 +17,8 @@
 	// however slowly; one that gives nothing for so long has gone silent.
 	stallMost = 5 * time.Second
 
-	// stallLate is the same once the request's time is up. Over 64 KiB the first bytes are timed alone, so what still comes is
-	// passed on; but an answer that stands still then is broken off well within the half second after which it is lost.
+	// stallLate is the same of an answer whose size is not told, once the request's time is up: it may be a small one, which is lost
+	// half a second after that.
 	stallLate = 400 * time.Millisecond
 
 	// holdMost is how long an answer whose size is not told is held back to see whether it is a small one, which could be
@@ -48,17 +48,18 @@
 // Size is the whole body's in bytes, what was read before the stream included; -1 where the server did not tell it.
 func (s *Stream) Size() int64 { return s.size }
 
-// Until says when the client gives the request up: an answer that is neither whole nor moving by then is broken off.
+// Until says when the client gives the request up.
 func (s *Stream) Until(t time.Time) { s.until = t }
 
-// due is when the next piece must have come.
+// due is when the next piece must have come. Over 64 KiB the first bytes are timed alone, and an answer of untold size may become
+// such a one: what its server still gives is passed on, also late. But one that stands still is broken off.
 func (s *Stream) due() time.Time {
 	now := time.Now()
 	at := now.Add(stallMost)
-	if s.until.IsZero() || s.until.After(at) {
+	if s.until.IsZero() || s.size > body.Small || s.until.After(at) {
 		return at
 	}
-	if late := now.Add(stallLate); max(s.size, s.got) > body.Small && late.After(s.until) {
+	if late := now.Add(stallLate); late.After(s.until) {
 		return late
 	}
 	return s.until
