Set descriptors aside while clients come without an end, whatever the system's limit is

Cause: connections were bounded by the configuration's limit alone. Where the system gives the process fewer, clients that rest took the last one, and discovery, servers, the door and SIGHUP had to race them for each that came free. Change: the descriptor number that a connection is given tells how few are left (the kernel gives the lowest); beyond the mark no more are let in than there are now, those that rest longest make way, the log says so once in 10 s (descriptors_short), a counter counts. Ruled out: counting all descriptors under /proc at each accept (a directory read for each connection).

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -196,6 +196,7 @@
 		Opened Count `json:"opened"`
 		Open   Count `json:"open"`
 		Paused Count `json:"paused"` // times accepting paused for want of descriptors
+		Short  Count `json:"short"`  // times a connection took one of the descriptors that are set aside
 	} `json:"client_connections"`
 	ClientEnds Group `json:"client_connection_ends"` // by reason code
 	Servers    struct {
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"syscall"
@@ -36,6 +37,9 @@
 	// takes 2 s over a request writes all the while.
 	silentLeast = 300 * time.Millisecond
 
+	// fewest is how many connections there may be however few descriptors there are: a node that takes in nobody serves nobody.
+	fewest = 4
+
 	// deferFor is how long the kernel keeps a connection on which nothing has come from us. It is the shortest
 	// there is: the kernel counts in repeats of its own answer, the first of which is due after a second.
 	deferFor = time.Second
@@ -68,12 +72,14 @@
 		nc, err := l.AcceptTCP()
 		switch {
 		case err == nil:
+			s.heed(nc)
 			s.take(nc)
 		case errors.Is(err, net.ErrClosed):
 			return err
 		case isTimeout(err):
 		default: // out of descriptors, or the connection was gone already
 			s.o.Count.Clients.Paused.Inc()
+			s.shorten()
 			s.evict(0)
 			time.Sleep(pauseStep)
 		}
@@ -88,7 +94,42 @@
 	return err
 }
 
-func (s *Server) limit() int { return int(s.most.Load()) }
+// limit is how many connections there may be: as many as were set, and no more than leave the process the descriptors that are
+// set aside.
+func (s *Server) limit() int { return int(min(s.most.Load(), s.fits.Load())) }
+
+// heed looks at the descriptor that a connection was given. The kernel gives the lowest that is free, so one that is among the
+// last says how few are left, whoever holds the others. The system's limit is asked for each time: it may be lowered while the
+// process runs.
+func (s *Server) heed(nc *net.TCPConn) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return
+	}
+	most := min(files.Cur, math.MaxInt32)
+	mark := most - min(uint64(s.o.Aside), most/2)
+	raw, err := nc.SyscallConn()
+	if err != nil {
+		return
+	}
+	short := false
+	_ = raw.Control(func(fd uintptr) { short = uint64(fd) >= mark }) // a closed one has none
+	if short {
+		s.shorten()
+	} else if n := int64(s.held()) + 1; n >= s.fits.Load() {
+		s.fits.Store(n + 1) // there is room for one more at least
+	}
+}
+
+// shorten has no more connections than there are now, and says once why those that rest longest make way.
+func (s *Server) shorten() {
+	n := max(fewest, int64(s.held()))
+	s.fits.Store(n)
+	s.o.Count.Clients.Short.Inc()
+	if due(&s.saidShort) {
+		s.o.Log.Warn("descriptors run short, clients that rest longest make way", "code", "descriptors_short", "clients", n)
+	}
+}
 
 // await lets connections end, but not beyond a drain's time: what then is left is no whole request, or its
 // client does not read.
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -131,14 +132,18 @@
 	return fasthttp.StatusRequestTimeout, "slow"
 }
 
-// sayEvery is how often the log tells that there is no room for large bodies: each of them is counted.
+// sayEvery is how often the log tells that there is no room for large bodies, or that descriptors run short: each time is counted.
 const sayEvery = 10 * time.Second
 
+// due tells whether the log may say again what it said then, and notes that it does.
+func due(said *atomic.Int64) bool {
+	now, last := time.Now().UnixNano(), said.Load()
+	return (last == 0 || now-last >= int64(sayEvery)) && said.CompareAndSwap(last, now)
+}
+
 // sayNoRoom tells whoever is on call that large bodies are refused, and whether the disk is why.
 func (s *Server) sayNoRoom(err error) {
-	now := time.Now().UnixNano()
-	last := s.saidRoom.Load()
-	if last != 0 && now-last < int64(sayEvery) || !s.saidRoom.CompareAndSwap(last, now) {
+	if !due(&s.saidRoom) {
 		return
 	}
 	s.o.Log.Warn("large requests are refused", "code", "no_room", "error", err, "refused", s.o.Count.Bodies.Refused.Get())
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 	Desk   Desk
 	Bodies *body.Store
 	Most   int           // connections; SetMost changes it
+	Aside  int           // descriptors of the process that they must leave, where the system gives twice as many
 	Grace  time.Duration // the longest deadline a client may set: what is taken is answered within it
 	Log    *slog.Logger
 	Count  *counters.Counters
@@ -62,7 +64,10 @@
 	cut       atomic.Bool // a second signal has come
 	succeeded atomic.Bool // another process takes the connections that come
 
-	saidRoom atomic.Int64 // when the log last told that large bodies are refused, Unix nanoseconds
+	saidRoom  atomic.Int64 // when the log last told that large bodies are refused, Unix nanoseconds
+	saidShort atomic.Int64 // the same of descriptors
+
+	fits atomic.Int64 // connections that leave the descriptors that are set aside, as far as it has shown
 
 	evicting atomic.Int64 // connections told to make way that have not gone yet
 	open     sync.WaitGroup
@@ -72,6 +77,7 @@
 func New(o Options) *Server {
 	s := &Server{o: o, conns: map[*conn]struct{}{}}
 	s.SetMost(o.Most)
+	s.fits.Store(math.MaxInt64)
 	s.http = fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.unreadable, HeaderReceived: s.headCame,
 		ReadTimeout: headTime, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,7 +131,7 @@
 	bodies := body.New(os.Getenv("TMPDIR"), files, max(fewestFiles, int(c.Limits.MemoryMB*bodyShare*(1<<20))/body.Piece), &count.Bodies)
 	n.desk = exchange.NewDesk(exchange.Options{Router: n.engine, Send: n.send, Clock: clk, Bodies: bodies, Classes: set.Classes,
 		Slack: c.Settings.AnswerSlack, Log: log, Count: count})
-	n.ingress = ingress.New(ingress.Options{Desk: n.desk, Bodies: bodies, Most: each, Grace: longest(set), Log: log, Count: count})
+	n.ingress = ingress.New(ingress.Options{Desk: n.desk, Bodies: bodies, Most: each, Aside: own / 2, Grace: longest(set), Log: log, Count: count})
 	return n, nil
 }
 
