--- a/cmd/tackhub/deploy_test.go
+++ b/cmd/tackhub/deploy_test.go
@@ -50,3 +50,40 @@
 	}
 	t.Error("the built node has no interpreter: it is linked statically")
 }
+
+// TestKnownRedIsReadStrictly: a list of tests that may fail must not hide any other, nor grow.
+func TestKnownRedIsReadStrictly(t *testing.T) {
+	one := "TestKnownRedIsReadStrictly, a cause, issue 1\n"
+	for text, want := range map[string]struct {
+		names int
+		fault string
+	}{
+		"":                    {0, ""},
+		"\n":                  {0, ""},
+		one:                   {1, ""},
+		one + "\n" + one:      {2, ""},
+		one + one + one:       {3, ""},
+		one[:len(one)-1]:      {1, ""}, // no line end
+		one + one + one + one: {0, "more than three lines"},
+		"TestNobodyHasWritten, a cause, issue 1\n": {0, "there is no test TestNobodyHasWritten"},
+		"TestKnownRedIsReadStrictly\n":             {0, "is not: test, cause, issue"},
+		".*, a cause, issue 1\n":                   {0, "is not: test, cause, issue"},
+		"TestKnown.*, a cause, issue 1\n":          {0, "is not: test, cause, issue"},
+	} {
+		list := filepath.Join(t.TempDir(), "red")
+		if err := os.WriteFile(list, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command("bash", ".ci/red", list)
+		cmd.Dir = filepath.Join("..", "..")
+		var fault strings.Builder
+		cmd.Stderr = &fault
+		out, err := cmd.Output()
+		if (err != nil) != (want.fault != "") || !strings.Contains(fault.String(), want.fault) {
+			t.Errorf("%q: %v, %q", text, err, fault.String())
+		}
+		if want.fault == "" && strings.Count(string(out), "\n") != want.names {
+			t.Errorf("%q names %q", text, out)
+		}
+	}
+}
