Bear 1,024 processes and servers in every list, and say what each bound is for

Cause: a static list of the operator file had a cap of 1,000 servers, and messages of all nodes together one of 5,000 a second, which a thousand nodes pass when each tells ten times. Ruled out: no cap on the static list at all (the operator file has one of 1 MiB; a count says it in a line that names the key).

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -25,9 +25,11 @@
 	// engine never waits for them.
 	queueLen = 64
 
-	// mostPerSecond is how many messages are taken of all nodes together in a second. A hundred nodes tell some ten
-	// times a second each; what is more is a fault, and the newest of a second can do without it.
-	mostPerSecond = 5000
+	// leastPerSecond is how many messages are taken of all nodes together in a second, and eachPerSecond for each node where that
+	// is more. A hundred nodes tell some ten times a second each; what is more is a fault, and the newest of a second can do
+	// without it.
+	leastPerSecond = 5000
+	eachPerSecond  = 50
 )
 
 // Hearer takes what other nodes tell.
@@ -123,6 +125,7 @@
 func (l *Link) read(ctx context.Context) {
 	buffer := make([]byte, headLen+logic.MessageMost+1)
 	second, taken := time.Time{}, 0
+	most := max(leastPerSecond, eachPerSecond*len(l.o.Nodes))
 	for {
 		n, from, err := l.conn.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -135,7 +138,7 @@
 		if now := time.Now(); now.Sub(second) >= time.Second {
 			second, taken = now, 0
 		}
-		if taken++; taken > mostPerSecond {
+		if taken++; taken > most {
 			l.drop("rate")
 			continue
 		}
--- a/internal/roster/options.go
+++ b/internal/roster/options.go
@@ -105,7 +105,7 @@
 	leastPoll   = 10 * time.Millisecond // each is a stat
 	mostSettle  = 10 * time.Second
 	mostPodHold = time.Minute
-	mostStatic  = 1000
+	mostStatic  = 4096 // some 150 bytes each, within what the operator file may hold
 )
 
 func check(options any) []operator.Fault {
