--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -115,6 +116,29 @@
 	}
 }
 
+// silentListener accepts any number of connections and reads what comes.
+func silentListener(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(io.Discard, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 func testPool(a addresses, most, each int) (*Pool, *counters.Counters) {
 	count := &counters.Counters{}
 	return New(Options{Addresses: a, Connect: time.Second, Idle: time.Minute, Probe: time.Second, Most: most,
@@ -396,6 +420,37 @@
 	}
 }
 
+// TestNoPlaceIsLostWithAttemptsGivenUp gives attempts up in every moment of a connection's coming up, and counts the places.
+func TestNoPlaceIsLostWithAttemptsGivenUp(t *testing.T) {
+	addr := silentListener(t)
+	p, count := testPool(addresses{"s1": addr}, 64, 64)
+	for i := range 300 {
+		a := p.Send("s1", engine.Copy{Bytes: []byte("x")}, func(engine.End) {})
+		for range i % 50 {
+			runtime.Gosched()
+		}
+		if i%3 == 0 {
+			time.Sleep(time.Duration(i) * time.Microsecond) // some connections are up and written on by then
+		}
+		a.Abort()
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		total, held, idle := p.total, p.held["s1"], len(p.idle["s1"])
+		p.mu.Unlock()
+		if total == idle && held == idle && int(count.Servers.Open.Get()) == idle {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d places and %d of the server are taken, %d connections open, %d idle", total, held, count.Servers.Open.Get(), idle)
+		}
+	}
+	p.sweep(true)
+	if p.total != 0 || count.Servers.Open.Get() != 0 {
+		t.Errorf("%d places taken at the end, %d connections open", p.total, count.Servers.Open.Get())
+	}
+}
+
 // TestWhyNoConnectionCameUp: whoever is on call tells a dead process from a silent machine by it.
 func TestWhyNoConnectionCameUp(t *testing.T) {
 	addr, _ := listener(t)
