Keep the sum of all nodes' calls to a cold server within its budget and chance

Cause: each node's bucket could hold one whole call however small its part of the budget: n nodes that had saved theirs sent n and 0.6 N in the first rush.

--- /dev/null
+++ b/logic/cold_test.go
@@ -0,0 +1,182 @@
+package logic
+
+import (
+	"math"
+	"testing"
+)
+
+// coldFleet is many modules, each a node of its own, with one server that has just started.
+type coldFleet struct {
+	set   Settings
+	nodes []*bed
+	unit  Millis
+	began Millis
+	sent  []coldCall // to the cold server, by all
+}
+
+type coldCall struct {
+	at   Millis
+	cost float64
+}
+
+// newColdFleet has the cold server allow so many calls in its first window.
+func newColdFleet(t *testing.T, nodes int, allowed float64, seed int) *coldFleet {
+	t.Helper()
+	f := &coldFleet{set: settings(), began: 100000}
+	f.set.Nodes, f.set.Classes = nodes, f.set.Classes[:1]
+	f.unit = f.set.FallMultiple * f.set.ColdFrom * f.set.FallFor / allowed
+	f.set.Classes[0].Aim = 40 * f.unit // long enough that the budget alone holds anything back
+	for i := range nodes {
+		f.nodes = append(f.nodes, f.start(t, i, seed*10000+i))
+	}
+	return f
+}
+
+func (f *coldFleet) start(t *testing.T, node, seed int) *bed {
+	return f.startAt(t, node, seed, f.began)
+}
+
+// startAt starts a node that hears of the cold server then.
+func (f *coldFleet) startAt(t *testing.T, node, seed int, now Millis) *bed {
+	set := f.set
+	set.Node = node
+	l, err := New(set, uint64(seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.unit, l.guess, l.hintMean = f.unit, f.unit, 10 // as after many requests
+	b := &bed{t: t, l: l, now: now}
+	b.step(ServerList{Form: ListCached, Entries: server3(4)})
+	b.step(ServerList{Form: ListDelta, Entries: []ServerEntry{{ID: "cold", Zone: "z", Size: 1, Started: f.began}}})
+	return b
+}
+
+// budget is what the settings allow the server in a window that begins then.
+func (f *coldFleet) budget(at Millis) float64 {
+	share := min(1, f.set.ColdFrom+(1-f.set.ColdFrom)*(at-f.began)/f.set.ColdFor)
+	return f.set.FallMultiple * share * f.set.FallFor / f.unit
+}
+
+// rush has requests come to all nodes for a span, every so many ms, with only the cold server left.
+func (f *coldFleet) rush(from, span, every Millis, cost func(int) float64) {
+	costs := map[RequestID]float64{}
+	var carry func(b *bed, acts []Action)
+	carry = func(b *bed, acts []Action) {
+		for _, a := range acts {
+			if s, ok := a.(Send); ok && s.Server == "cold" {
+				f.sent = append(f.sent, coldCall{b.now, costs[s.ID]})
+				b.l.retries.left, b.l.servers["cold"].excluded = 0, false
+				carry(b, b.end(s.ID, 0, "cold", Overloaded, 0)) // refused work counts too
+			}
+		}
+	}
+	for i, b := range f.nodes {
+		b.now = from
+		b.step(ServerList{Form: ListFull, Entries: []ServerEntry{{ID: "cold", Zone: "z", Size: 1, Started: f.began}}})
+		b.l.feelers.left = -1e9 // the test is on the budget alone: what is sent without a fit passes it too
+		for k := 0; b.now < from+span; k++ {
+			b.now += every * (0.5 + float64((i*7+k)%11)/10)
+			b.next++
+			costs[b.next] = cost(i + k)
+			carry(b, b.step(Arrival{ID: b.next, Class: "read", Expires: b.now + f.set.FallFor/4, Hint: 10 * cost(i+k)}))
+			carry(b, b.step(TimerFired{"sweep"}))
+		}
+	}
+}
+
+// worst is the window that went furthest beyond N calls and what is put down to chance, and that window's N.
+func (f *coldFleet) worst() (over, n float64) {
+	over = math.Inf(-1)
+	for _, from := range f.sent {
+		sum, allowed := 0.0, f.budget(from.at)
+		for _, c := range f.sent {
+			if c.at >= from.at && c.at < from.at+f.set.FallFor {
+				sum += c.cost
+			}
+		}
+		if o := sum - allowed - 2*math.Sqrt(allowed) - 2; o > over {
+			over, n = o, allowed
+		}
+	}
+	return over, n
+}
+
+func one(int) float64 { return 1 }
+
+// Guards against nodes that each keep one call for a cold server and spend it at once: thirty of them are beyond any small
+// budget, however slowly each bucket refills. What all modules send together in any window stays within the server's budget of N
+// calls and 2 x root of N + 2 for chance.
+func TestAllNodesTogetherKeepAColdServersBudget(t *testing.T) {
+	saved := func(f *coldFleet) Millis { return f.began + 0.3*f.set.ColdFor } // by then each node has had time to save its part
+	span, every := 1.5*settings().FallFor, settings().FallFor/40
+	heavy := func(k int) float64 { // the mean is one
+		if k%10 == 0 {
+			return 4
+		}
+		return 2.0 / 3
+	}
+	for name, play := range map[string]func(*coldFleet){
+		"a rush":                     func(f *coldFleet) { f.rush(saved(f), span, every, one) },
+		"a rush with heavy requests": func(f *coldFleet) { f.rush(saved(f), span, every, heavy) },
+		"a rush from the start":      func(f *coldFleet) { f.rush(f.began, span, every, one) },
+		"half of the nodes are restarted within it": func(f *coldFleet) {
+			f.rush(saved(f), span/2, every, one)
+			for i := range f.nodes {
+				if i%2 == 0 {
+					f.nodes[i] = f.startAt(t, i, 1_000_000+i, saved(f)+span/2)
+				}
+			}
+			f.rush(saved(f)+span/2, span/2, every, one)
+		},
+		"half of the nodes know it only now": func(f *coldFleet) {
+			for i := range f.nodes {
+				if i%2 == 0 {
+					f.nodes[i] = f.startAt(t, i, 1_000_000+i, saved(f))
+				}
+			}
+			f.rush(saved(f), span, every, one)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runs, over, worst := 0, 0, math.Inf(-1)
+			for _, nodes := range []int{2, 5, 20, 30, 300, 1024} {
+				for _, allowed := range []float64{5, 15, 100} {
+					for seed := range 6 {
+						f := newColdFleet(t, nodes, allowed, seed)
+						play(f)
+						runs++
+						if o, _ := f.worst(); o > 0 {
+							over++
+							worst = max(worst, o)
+							t.Logf("%d nodes, %v calls allowed, seed %d: %.1f calls beyond chance", nodes, allowed, seed, o)
+						}
+					}
+				}
+			}
+			if over*50 > runs {
+				t.Errorf("%d of %d fleets passed a cold server's budget by more than chance, at the worst by %.1f calls", over, runs, worst)
+			}
+		})
+	}
+}
+
+// TestWhatIsLeftUnusedOfAColdServersBudget holds the price of it: what a fleet in want of servers uses of the budget.
+func TestWhatIsLeftUnusedOfAColdServersBudget(t *testing.T) {
+	for _, nodes := range []int{2, 30, 300} {
+		used, allowed := 0.0, 0.0
+		for seed := range 10 {
+			f := newColdFleet(t, nodes, 60, seed)
+			f.rush(f.began, f.set.ColdFor/2, f.set.FallFor/40, one)
+			for at := f.began; at < f.began+f.set.ColdFor/2; at += f.set.FallFor {
+				allowed += f.budget(at + f.set.FallFor/2)
+			}
+			used += float64(len(f.sent))
+		}
+		if share := used / allowed; share < 0.45 || share > 0.8 {
+			t.Errorf("%d nodes use %.2f of a cold server's budget", nodes, share)
+		} else {
+			t.Logf("%d nodes use %.2f of a cold server's budget", nodes, share)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -81,7 +81,7 @@
 	comeBack     = 0.25    // of the time left: leaves a second try the other half
 	retryBurst   = 5.0     // lets a lost server's requests move at once
 	coldMargin   = 0.6     // of the cold budget; our capacity estimate may be off by half
-	coldBurst    = 0.25    // of a window's budget at once; the rest is spread within it
+	coldBurst    = 0.5     // of a window: how long a node keeps what it saves of its part
 	askFirstWait = 200.0   // a first failure may be chance
 	askSpread    = 10.0    // for each other node: a hundred first calls a second in all
 	askEach      = 25.0    // for each other node: turned away together, forty calls a second in all
@@ -264,15 +264,15 @@
 	return coldMargin * l.set.FallMultiple * l.ramp(s) / l.typicalUnit(s) / l.parts()
 }
 
-// coldRoom refills a cold server's budget and tells whether cost fits. It guards against pushing over a
-// server that has just started, which stays down.
+// coldRoom refills a cold server's budget and tells whether cost fits. It guards from pushing over one that
+// has just started and stays down then: also where all nodes have saved their parts and spend them together.
 func (l *Logic) coldRoom(s *server, cost float64) bool {
 	if l.ramp(s) >= 1 {
 		return true
 	}
 	rate := l.coldRate(s)
-	burst := max(1, coldBurst*rate*l.set.FallFor)
-	return rate > 0 && s.budget.refill(l.now, rate, burst) >= min(cost, burst)
+	saved := rate * coldBurst * l.set.FallFor
+	return rate > 0 && s.budget.ration(l.now, rate, saved) >= max(1, min(cost, saved))
 }
 
 // ---- health: score, exclusion, trial
--- a/logic/state.go
+++ b/logic/state.go
@@ -156,6 +156,21 @@
 	return t.left
 }
 
+// ration refills an allowance of which so much may be saved. Where that is under one, each whole one that comes in stands open only
+// for the part of the time until the next that the saving is of one: of many holders, each in a phase of its own, so many have one
+// at any moment as together may save.
+func (t *tokens) ration(now Millis, rate, saved float64) float64 {
+	t.refill(now, rate, math.Inf(1))
+	if saved >= 1 {
+		t.left = min(t.left, saved)
+	} else if t.left >= 1+saved {
+		if t.left -= math.Floor(t.left); t.left < saved {
+			t.left++
+		}
+	}
+	return t.left
+}
+
 // take spends one if there is one.
 func (t *tokens) take() bool {
 	if t.left < 1 {
