Set crowded servers aside at once instead of one draw at a time

To draw, reject and draw again without the rejected gives each of the others its part by score, so the design's redraw is unchanged. Test: TestThoseNotCrowdedAreDrawnInProportion passes with both, 20,000 draws.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -371,3 +371,31 @@
 		}
 	}
 }
+
+// Guards against a draw that favours whoever comes first in the list once crowded servers are set aside: those that are left each
+// get their part by score.
+func TestThoseNotCrowdedAreDrawnInProportion(t *testing.T) {
+	set := settings()
+	b := newBed(t, set, server3(5)...)
+	for i, s := range b.l.list {
+		s.seen, s.unit, s.outcomeAt, s.score = true, 20, b.now, float64(i+1)
+	}
+	b.l.unit, b.l.guess, b.l.scoredAt = 20, 20, b.now
+	crowded := b.l.list[2]
+	crowded.unit = 40 // twice the best's time, and still within the aim
+	const picks = 20000
+	got := map[ServerID]float64{}
+	for range picks {
+		r := &request{class: b.l.classes["read"], cost: 1, arrived: b.now, aimAt: b.now + 400, expires: b.now + 2000}
+		got[b.l.pick(r).ID]++
+	}
+	for i, s := range b.l.list {
+		want := float64(i+1) / (1 + 2 + 4 + 5)
+		if s == crowded {
+			want = 0
+		}
+		if math.Abs(got[s.ID]/picks-want) > 0.015 {
+			t.Errorf("%s was drawn %.3f of the time, want %.3f", s.ID, got[s.ID]/picks, want)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -872,20 +872,14 @@
 	if len(fit) == 0 && !r.late && l.outstanding == 0 && l.timeLeft(r) > 0 && l.spendFeeler() {
 		return l.draw(open)
 	}
-	for len(fit) > 0 {
-		s := l.draw(fit)
-		for _, home := range []*server{second, first} { // a key's homes come before the draw while they fit
-			if slices.Contains(fit, home) {
-				s = home
-			}
-		}
-		if s.price <= best*redrawFactor {
-			return s
+	// To redraw until one is not crowded is to draw among those that are not: each has its part of their scores.
+	fit = slices.DeleteFunc(fit, func(s *server) bool { return s.price > best*redrawFactor })
+	for _, home := range []*server{first, second} { // a key's homes come before the draw
+		if home != nil && slices.Contains(fit, home) {
+			return home
 		}
-		i := slices.Index(fit, s)
-		fit = append(fit[:i], fit[i+1:]...)
 	}
-	return nil
+	return l.draw(fit)
 }
 
 // news is the chance that a request held back hears of a free server: the probes that may be spent on each.
