Tell the module that news of the list is missing when it counts as told, not at the next failure

Cause: the module prefers servers that just took requests once news may be late, half the grace after it hears so. It heard with the first call that failed after 6 s without an answer, and such a call is waited for for up to 2.5 s behind a pause of up to 3 s: later than what news may take and the grace together. Change: a timer from the last answer tells it, under one lock with the answers, so that the module hears of both in their order. Ruled out: a check at each pause (a call that is waited for holds it up).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -44,10 +44,14 @@
 
 	running atomic.Bool
 
-	// Of the goroutine in Run: when the last answer came, and whether the module knows that it was too long ago.
+	silent bool // of the goroutine in Run: the last call got no answer
+
+	// When the last answer came, and whether the module knows that it was too long ago. It is held while the module is told, so
+	// that it hears of both in their order.
+	newsMu   sync.Mutex
 	informed time.Time
 	late     bool
-	silent   bool // the last call got no answer
+	lateness *time.Timer
 
 	mu       sync.RWMutex
 	members  map[logic.ServerID]Member
@@ -123,7 +127,11 @@
 func (c *Catalog) Run(ctx context.Context, known List, news News) {
 	c.news = news
 	c.running.Store(true)
+	c.newsMu.Lock()
 	c.informed = time.Now()
+	c.lateness = time.AfterFunc(lateAfter, c.tellLate)
+	c.newsMu.Unlock()
+	defer c.lateness.Stop()
 	// Told even where nothing is known: it is the module's first event, without which one that has to ask for
 	// the list would not begin to.
 	c.tell(known, logic.ListCached)
@@ -243,14 +251,22 @@
 	}
 }
 
+// tellLate tells the module once that news is missing for longer than it may take: what discovery had to tell counts as told by
+// now. It does not wait for the next call to fail, which may be seconds later.
+func (c *Catalog) tellLate() {
+	c.newsMu.Lock()
+	defer c.newsMu.Unlock()
+	if c.late || time.Since(c.informed) < toldLatest {
+		return // an answer has crossed it
+	}
+	c.late = true
+	c.count.List.Late.Inc()
+	c.log.Warn("no news of the list for longer than it may take", "code", "list_late", "for_ms", time.Since(c.informed).Milliseconds())
+	c.news.ListNews(logic.ServerList{Form: logic.ListLate})
+}
+
 func (c *Catalog) failed(err error, first bool) {
 	c.count.List.Failed.Inc()
-	if !c.late && time.Since(c.informed) > toldLatest { // what it had to tell then counts as told by now
-		c.late = true
-		c.count.List.Late.Inc()
-		c.log.Warn("no news of the list for longer than it may take", "code", "list_late", "for_ms", time.Since(c.informed).Milliseconds())
-		c.news.ListNews(logic.ServerList{Form: logic.ListLate})
-	}
 	if first { // the first of a row: an outage must not fill the log
 		c.log.Warn("discovery call failed, the last list stands", "code", "list_failed", "error", err)
 	}
@@ -290,8 +306,11 @@
 
 func (c *Catalog) take(list List, at int64) {
 	c.locate(list) // before the module can send there
+	c.newsMu.Lock()
+	defer c.newsMu.Unlock()
 	late := c.late
 	c.informed, c.late = time.Now(), false
+	c.lateness.Reset(lateAfter)
 	c.count.List.Informed.Set(c.informed.UnixMilli())
 	switch {
 	case list.Complete:
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -516,3 +516,38 @@
 		}
 	})
 }
+
+// TestLateNewsAreToldInTime: the module hears that news is missing when it counts as told, whatever the calls meet and however long each
+// is waited for. It used to hear with the next call that failed, seconds later.
+func TestLateNewsAreToldInTime(t *testing.T) {
+	for name, begin := range map[string]func(*agency){
+		"turned away": func(a *agency) { a.set(func() { a.closed, a.after = true, "3600" }) },
+		"silent":      func(a *agency) { a.set(func() { a.silent = true }) },
+		"half":        func(a *agency) { a.set(func() { a.half = true }) },
+	} {
+		for _, subscribe := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, asked for %v", name, subscribe), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c, a := newCrowd(t), newAgency(3)
+					defer c.end()
+					c.agency("one", a)
+					for range followers {
+						f := New(Options{Address: "one", Nodes: followers, Subscribe: subscribe, Grace: grace, Dial: c.dial,
+							Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: &counters.Counters{}}, a.known())
+						c.all = append(c.all, f)
+						go f.Run(c.ctx, a.known(), &asker{f})
+					}
+					time.Sleep(11 * time.Second)
+					begin(a)
+					a.drain()
+					time.Sleep(toldLatest + 100*time.Millisecond)
+					for _, f := range c.all {
+						if f.count.List.Late.Get() != 1 && f.List().Revision != 2 {
+							t.Fatalf("news is missing, and the module has not heard of it")
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/catalog/pace.go
+++ b/internal/catalog/pace.go
@@ -13,6 +13,9 @@
 	// met before: the operators' terms. The drain grace runs from then on. Every wait below is a part of it: see pace.worst.
 	toldLatest = 6 * time.Second
 
+	// lateAfter is when the module hears that news is missing: as soon as it may be, and not on the same tick as an answer.
+	lateAfter = toldLatest + 50*time.Millisecond
+
 	// reply is the part of it that is left for the answer to the call that gets through, and for the module to take it in.
 	reply = 500 * time.Millisecond
 
