Take a connection to discovery that does not come up for silence, and ask on

Cause: a discovery is asked again and again while a call is waited for once it has gone silent. A connection that hangs was no silence to the node (the client's own time-out is another error than the dialler's), so one attempt to connect followed the other, 1.5 s each and a pause behind it: later than the grace. Change: whatever timed out is silence; likewise where a watch that must be asked for is opened anew. Ruled out: asking for net.Error (the client's time-out is none: six cases of TestNewsWithinSixSecondsWhateverACallMet took 6.5 to 8.5 s with it). Test: TestNewsReachesHundredsInTime, cut off, connections hang, then back: 2.05 to 2.45 s of a grace of 2 s before, three runs; within it now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -177,7 +177,7 @@
 		var err error
 		if *at < 0 && c.silent && !c.ask {
 			list, err = c.insist(ctx, src)
-		} else if list, err = c.call(src, *at, c.pace.answer); c.ask && *at >= 0 && errors.Is(err, fasthttp.ErrTimeout) {
+		} else if list, err = c.call(src, *at, c.pace.answer); c.ask && *at >= 0 && timedOut(err) {
 			// A watch that has fallen silent is opened anew at once: the module's pause is for calls that fail, and news
 			// may have been waiting for all of the hold already.
 			*at = -1
@@ -191,7 +191,7 @@
 		if away := (turnedAway{}); err != nil && !errors.As(err, &away) {
 			*at = -1
 		}
-		c.silent = errors.Is(err, fasthttp.ErrTimeout)
+		c.silent = timedOut(err)
 		if err != nil {
 			c.failed(err, pause == retryFirst)
 			return pause, err
@@ -202,6 +202,12 @@
 	return pause, nil
 }
 
+// timedOut tells whether nothing at all came of a call: no answer, or no connection to ask on.
+func timedOut(err error) bool {
+	var t interface{ Timeout() bool } // the client's own error is no net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // turnedAway says that discovery has no room for a call now.
 type turnedAway struct{ after time.Duration }
 
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -41,6 +42,8 @@
 	lost     map[string]bool      // connections on which nothing is answered any more, though others are
 	half     bool                 // half of each answer is written, and no more
 	refusing bool                 // no connection comes up
+	hanging  bool                 // likewise, and nothing says so
+	breaking bool                 // each connection is broken instead of an answer
 	last     map[string]time.Time // of each connection's answers
 	conns    map[net.Conn]struct{}
 	calls    int
@@ -93,6 +96,12 @@
 	return a.refusing
 }
 
+func (a *agency) hangs() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.hanging
+}
+
 func (a *agency) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
@@ -147,6 +156,10 @@
 		<-a.stop
 		return
 	}
+	if a.breaking {
+		a.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	out := List{Revision: a.revision, Complete: from < 0, Members: []Member{}}
 	switch {
 	case from < 0:
@@ -229,9 +242,14 @@
 	c.dialed++
 	addr := memoryAddr(fmt.Sprintf("caller-%d", c.dialed))
 	c.mu.Unlock()
-	if a := c.stands[address]; a != nil && a.refuses() {
+	a := c.stands[address]
+	if a != nil && a.refuses() {
 		return nil, syscall.ECONNREFUSED
 	}
+	if a != nil && a.hangs() {
+		time.Sleep(timeout)
+		return nil, os.ErrDeadlineExceeded
+	}
 	select {
 	case c.agencies[address].accept <- named{there, addr}:
 		return here, nil
@@ -331,6 +349,14 @@
 			time.Sleep(10 * time.Second)
 			a.set(func() { a.silent = false })
 		}},
+		{"cut off, connections hang, then back", grace, func(c *crowd, a *agency) {
+			c.join(followers, "one", a.known())
+			time.Sleep(7 * time.Second)
+			a.set(func() { a.hanging, a.breaking = true, true })
+			a.drain() // wakes the watches, which break
+			time.Sleep(10 * time.Second)
+			a.set(func() { a.hanging, a.breaking = false, false })
+		}},
 		{"moved while it was silent", onTheWay, func(c *crowd, a *agency) {
 			c.join(followers, "one", a.known())
 			time.Sleep(7 * time.Second)
--- a/internal/catalog/pace_test.go
+++ b/internal/catalog/pace_test.go
@@ -64,6 +64,7 @@
 		"turned away with no time":                 {begin: func(a *agency) { a.set(func() { a.closed = true }) }, end: func(a *agency) { a.set(func() { a.closed = false }) }},
 		"silent, then back":                        {begin: func(a *agency) { a.set(func() { a.silent = true }) }, end: func(a *agency) { a.set(func() { a.silent = false }) }},
 		"half answers":                             {begin: func(a *agency) { a.set(func() { a.half = true }) }, end: func(a *agency) { a.set(func() { a.half = false }) }},
+		"connections hang, watches are lost":       {begin: func(a *agency) { a.lose(); a.set(func() { a.hanging = true }) }, end: func(a *agency) { a.set(func() { a.hanging = false }) }},
 		"no connection comes up, watches are lost": {begin: func(a *agency) { a.lose(); a.set(func() { a.refusing = true }) }, end: func(a *agency) { a.set(func() { a.refusing = false }) }},
 	}
 	for _, size := range []struct {
