Plan stops back from the earliest kill, and end only once all that was taken is answered

Root cause: the drain's end was a fixed time (longest deadline + 650 ms, ingress.drained and await), while the listener was closed only when no connection was left. With hanging servers some connection is always left, so requests were read and forwarded until that end, and those read in its last 390 ms were cut off. Class: a fixed time that ends something still owed.

Change: internal/drain has the plan (close idle, close listener, give up half requests, last forward, last answer, kill), with a standstill of 0.15 s before the signal is noticed, between last forward and last answer, and before the kill. What is read after the last forward is refused at once; what is forwarded late is waited for until the last answer only, in flight ones too. internal/inflight is the account of all taken requests over both fronts; the process ends when it is empty. Log: one line at a stop's start with the plan, one at its end with its figures, one with the id for each request without a whole answer; the last lines wait for their place in the queue.

Tried and dropped: finding held-back connections in /proc/self/net/tcp.

--- a/internal/coap/front/front.go
+++ b/internal/coap/front/front.go
@@ -4,7 +4,6 @@
 package front
 
 import (
-	"context"
 	"crypto/rand"
 	"errors"
 	"fmt"
@@ -26,6 +25,7 @@
 	"tackhub.example/tackhub/internal/coap/wire"
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/exchange"
+	"tackhub.example/tackhub/internal/inflight"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -74,6 +74,8 @@
 	Uploads blocks.Bounds
 	Kept    blocks.Bounds // answers that are fetched in blocks
 	Rate    float64       // datagrams a second of one address prefix
+	// InFlight accounts for the requests that were taken.
+	InFlight *inflight.Account
 }
 
 // Front serves one socket. The transport is any net.PacketConn: plain UDP, or one that secures datagrams.
@@ -109,6 +111,9 @@
 	if _, err := rand.Read(start[:]); err != nil {
 		return nil, err
 	}
+	if o.InFlight == nil {
+		o.InFlight = &inflight.Account{}
+	}
 	f := &Front{o: o, conn: conn, began: time.Now(), echo: echo.New(key), ids: fmt.Sprintf("%x", start[:8]), classes: map[string]logic.Class{},
 		open: make(chan struct{}, o.Most), table: dedup.New(o.Dedup), uploads: blocks.New(o.Uploads), kept: blocks.New(o.Kept),
 		proven: map[string]time.Duration{}, limits: newLimiter(o.Rate), waiting: map[dedup.Key]chan struct{}{},
@@ -136,15 +141,13 @@
 	}
 }
 
-// Close takes nothing new and waits until what is in hand is answered; then the socket goes.
-func (f *Front) Close(ctx context.Context) {
+// Close takes nothing new and waits until what is in hand is answered; then the socket goes. Each request in hand ends by its
+// deadline, or sooner in a planned stop.
+func (f *Front) Close() {
+	f.mu.Lock() // a request that was let in before counts as working by now
 	f.ending.Store(true)
-	done := make(chan struct{})
-	go func() { f.working.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	f.mu.Unlock()
+	f.working.Wait()
 	_ = f.conn.Close()
 }
 
--- a/internal/coap/front/incoming.go
+++ b/internal/coap/front/incoming.go
@@ -16,6 +16,7 @@
 	"tackhub.example/tackhub/internal/coap/dedup"
 	"tackhub.example/tackhub/internal/coap/echo"
 	"tackhub.example/tackhub/internal/coap/wire"
+	"tackhub.example/tackhub/internal/inflight"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -178,6 +179,9 @@
 func (r *incoming) serve(body []byte) {
 	ack := time.AfterFunc(ackAfter, r.acknowledge)
 	defer ack.Stop()
+	taken := r.f.o.InFlight.Begin(r.key.Endpoint, r.call.class.Name)
+	outcome := inflight.Unanswered // unless it is answered below
+	defer func() { taken.End(outcome) }()
 	status, answer, retryAfter := r.exchange(body)
 	out := reply{code: answerCode(status, r.call.method), harmless: status == fasthttp.StatusServiceUnavailable}
 	switch status {
@@ -189,6 +193,10 @@
 	r.f.mu.Lock()
 	defer r.f.mu.Unlock()
 	r.answer(out)
+	outcome = inflight.Answered
+	if status == fasthttp.StatusServiceUnavailable {
+		outcome = inflight.Refused
+	}
 }
 
 // exchange is the request as the stages take it: the same fields as HTTP's.
--- a/internal/coap/front/part.go
+++ b/internal/coap/front/part.go
@@ -12,6 +12,7 @@
 	"tackhub.example/tackhub/internal/coap/blocks"
 	"tackhub.example/tackhub/internal/coap/dedup"
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/inflight"
 	"tackhub.example/tackhub/internal/operator"
 	"tackhub.example/tackhub/internal/part"
 	"tackhub.example/tackhub/logic"
@@ -33,6 +34,7 @@
 	Desk() Desk
 	Classes() []logic.Class
 	Counters() *counters.Counters
+	InFlight() *inflight.Account
 }
 
 const (
@@ -42,9 +44,6 @@
 
 	// uploadIdle is how long a half-sent body waits for its next block: the longest that a confirmable message can take.
 	uploadIdle = 93 * time.Second
-
-	// stopWait bounds the end: the longest deadline that the protocol knows is 3 s, and stored answers go with us.
-	stopWait = 4 * time.Second
 )
 
 // Part is the subsystem.
@@ -101,7 +100,7 @@
 		return nil, err
 	}
 	third := int(o.Memory) / 3
-	f, err := New(conn, Options{Desk: n.Desk(), Classes: n.Classes(), Log: host.Log, Count: &n.Counters().Coap, Most: o.Open, Rate: o.Rate,
+	f, err := New(conn, Options{Desk: n.Desk(), Classes: n.Classes(), Log: host.Log, Count: &n.Counters().Coap, InFlight: n.InFlight(), Most: o.Open, Rate: o.Rate,
 		Dedup:   dedup.Bounds{Entries: o.Remembered, Bytes: third, Endpoint: o.PerEndpoint},
 		Uploads: blocks.Bounds{Count: o.Uploads, Endpoint: uploadsPerEndpoint, Bytes: third, Body: maxBody, Idle: uploadIdle},
 		Kept:    blocks.Bounds{Count: o.Remembered, Endpoint: keptPerEndpoint, Bytes: third, Body: maxBody, Idle: uploadIdle}})
@@ -125,8 +124,6 @@
 			_ = r.conn.Close()
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), stopWait)
-		defer cancel()
-		r.front.Close(ctx)
+		r.front.Close()
 	})
 }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -155,8 +155,13 @@
 		Left     Count `json:"left"`     // the client left before its answer
 		Open     Count `json:"open"`     // in hand now
 		Overdue  Count `json:"overdue"`  // of the failed: ended by the guard, since the module had not answered
-		Unsent   Count `json:"unsent"`   // of the served, refused and failed: the client took the answer no more
+		// Unanswered ended without a whole answer although their clients were there as far as is known.
+		Unanswered Count `json:"unanswered"`
+		Unsent     Count `json:"unsent"` // of the served, refused and failed: the client took the answer no more
 	} `json:"requests"`
+	Stop struct {
+		Repeated Count `json:"repeated"` // signals to end that came while the node was ending
+	} `json:"stop"`
 	Operations Operations `json:"operations"` // by class
 	Rejections Group      `json:"rejections"` // why requests were rejected
 	Registry   struct {
@@ -195,8 +200,10 @@
 	Clients struct {
 		Opened Count `json:"opened"`
 		Open   Count `json:"open"`
-		Paused Count `json:"paused"` // times accepting paused for want of descriptors
-		Short  Count `json:"short"`  // times a connection took one of the descriptors that are set aside
+		// HeldUnknown counts the times that the kernel did not tell whether it holds connections back.
+		HeldUnknown Count `json:"held_back_unknown"`
+		Paused      Count `json:"paused"` // times accepting paused for want of descriptors
+		Short       Count `json:"short"`  // times a connection took one of the descriptors that are set aside
 	} `json:"client_connections"`
 	ClientEnds Group `json:"client_connection_ends"` // by reason code
 	Servers    struct {
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -52,6 +52,9 @@
 	if r.desk.o.Clock.Now() >= t.at+wait { // nothing was sent: saying so at once is all that is left
 		return &rejection{fasthttp.StatusGatewayTimeout, "deadline_past"}
 	}
+	if late := r.desk.tooLate(); late != nil {
+		return late
+	}
 	if !r.claim() {
 		return &rejection{fasthttp.StatusConflict, "id_in_use"}
 	}
@@ -59,7 +62,8 @@
 		wait = min(wait, class.HardLimit)
 	}
 	r.class = class
-	r.wait, r.until = wait, t.at+wait
+	r.until = r.desk.within(t.at + wait)
+	r.wait = r.until - t.at
 	r.wire = newOutgoing(t, r.until)
 	return nil
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,6 +14,7 @@
 	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/drain"
 	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/logic"
 )
@@ -58,11 +60,14 @@
 	open   map[string]struct{} // the ids of open requests, at most one for each client's connection
 	beside map[string]struct{} // those open at the node's other process, during an upgrade
 	tell   func(id string, open bool)
+
+	stop     atomic.Pointer[drain.Schedule] // nil: no planned stop has begun
+	stopping chan struct{}                  // closed when one begins
 }
 
 // NewDesk makes a desk.
 func NewDesk(o Options) *Desk {
-	d := &Desk{o: o, classes: map[string]logic.Class{}, open: map[string]struct{}{}}
+	d := &Desk{o: o, classes: map[string]logic.Class{}, open: map[string]struct{}{}, stopping: make(chan struct{})}
 	for _, c := range o.Classes {
 		d.classes[c.Name] = c
 	}
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -6,7 +6,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/engine"
 )
 
@@ -36,21 +35,28 @@
 func (r *request) relay(ctx *fasthttp.RequestCtx, client Client) ending {
 	left, stop := client.Watch()
 	defer stop()
-	wait := r.until + r.desk.o.Slack + guardExtra - r.desk.o.Clock.Now()
-	guard := time.NewTimer(clock.Span(wait))
+	guard := time.NewTimer(r.guardIn())
 	defer guard.Stop()
-	select {
-	case a := <-r.answer:
-		if a.Rest != nil {
-			return r.pass(ctx, client, a)
+	stopping, cut := r.desk.stopping, false
+	for {
+		select {
+		case a := <-r.answer:
+			if a.Rest != nil {
+				return r.pass(ctx, client, a)
+			}
+			return endingOf(a)
+		case <-left:
+			r.drop()
+			return leaves(ctx, client)
+		case <-stopping:
+			stopping, cut = nil, r.shorten(guard)
+		case <-guard.C:
+			r.drop()
+			if cut {
+				return cutByStop()
+			}
+			return ending{status: fasthttp.StatusGatewayTimeout, kind: engine.TimedOut, overdue: true}
 		}
-		return endingOf(a)
-	case <-left:
-		r.drop()
-		return leaves(ctx, client)
-	case <-guard.C:
-		r.drop()
-		return ending{status: fasthttp.StatusGatewayTimeout, kind: engine.TimedOut, overdue: true}
 	}
 }
 
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -62,7 +62,7 @@
 		return &ending{status: status, rejected: code}
 	}
 	// Its time counts from its last byte.
-	r.until = r.desk.o.Clock.At(client.LastRead()) + r.wait
+	r.until = r.desk.within(r.desk.o.Clock.At(client.LastRead()) + r.wait)
 	if !early {
 		r.ticket.Uploaded(r.until)
 		return nil
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -40,6 +40,9 @@
 	// fewest is how many connections there may be however few descriptors there are: a node that takes in nobody serves nobody.
 	fewest = 4
 
+	// brokenFor is how long accept must say that the listener is broken before it is believed.
+	brokenFor = time.Second
+
 	// deferFor is how long the kernel keeps a connection on which nothing has come from us. It is the shortest
 	// there is: the kernel counts in repeats of its own answer, the first of which is due after a second.
 	deferFor = time.Second
@@ -55,43 +58,104 @@
 	return errors.Join(cerr, err)
 }
 
-// Serve accepts connections until a drain is over.
+// setDeferAccept has the kernel hold silent connections back, or hand each over at once.
+func setDeferAccept(l *net.TCPListener, on bool) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	seconds := 0
+	if on {
+		seconds = int(deferFor / time.Second)
+	}
+	cerr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, seconds)
+	})
+	return errors.Join(cerr, err)
+}
+
+// Serve accepts connections until a planned stop ends that or the listener breaks, and returns once every connection has
+// ended. What was taken is answered in either case: there is no time after which it is cut off.
 func (s *Server) Serve(l *net.TCPListener) error {
-	for {
-		if s.draining() && (s.succeeded.Load() || s.drained()) {
-			break // the queue is the other process's too, or it is empty
-		}
+	err := s.accept(l)
+	if err != nil {
+		s.o.Broken(l, err)
+	}
+	err = errors.Join(err, ignoreClosed(l.Close()))
+	for !s.ended() {
+		time.Sleep(drainStep)
+	}
+	s.open.Wait()
+	return err
+}
+
+// ignoreClosed drops the error of a listener that was closed already.
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// accept takes connections in until a planned stop ends that; the error tells that the listener is broken.
+func (s *Server) accept(l *net.TCPListener) error {
+	quiet := false            // the queue was found empty
+	var brokenSince time.Time // zero: the last call gave no sign that the listener is broken
+	for !s.stopsAccepting(l, quiet) {
+		quiet = false
 		if !s.room() {
 			s.o.Count.Clients.Paused.Inc()
 			time.Sleep(pauseStep)
 			continue
 		}
 		if s.draining() {
-			_ = l.SetDeadline(time.Now().Add(drainStep)) // a broken listener shows in Accept
+			_ = l.SetDeadline(time.Now().Add(s.quietFor())) // a broken listener shows in Accept
 		}
 		nc, err := l.AcceptTCP()
+		if !isBroken(err) {
+			brokenSince = time.Time{}
+		}
 		switch {
 		case err == nil:
 			s.heed(nc)
 			s.take(nc)
+		case isTimeout(err):
+			quiet = true
 		case errors.Is(err, net.ErrClosed):
 			return err
-		case isTimeout(err):
-		default: // out of descriptors, or the connection was gone already
+		case isBroken(err) && brokenSince.IsZero():
+			brokenSince = time.Now()
+		case isBroken(err) && time.Since(brokenSince) >= brokenFor:
+			return err
+		default: // out of descriptors or buffers, or the connection was gone already
 			s.o.Count.Clients.Paused.Inc()
-			s.shorten()
-			s.evict(0)
+			s.shortOf(err)
 			time.Sleep(pauseStep)
 		}
 	}
-	err := l.Close()
-	for !s.drained() && !s.cut.Load() { // with a successor: what has been taken in is still served here
-		time.Sleep(drainStep)
+	return nil
+}
+
+// isBroken reports whether an error of accept says that the listener itself is of no use any more.
+func isBroken(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP} {
+		if errors.Is(err, errno) {
+			return true
+		}
 	}
-	if !s.cut.Load() {
-		s.await()
+	return false
+}
+
+// shortOf makes room where accept fails for want of descriptors or memory. Other errors concern one connection or pass by
+// themselves, and no client has to go for them.
+func (s *Server) shortOf(err error) {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, errno) {
+			s.shorten()
+			s.evict(0)
+			return
+		}
 	}
-	return err
 }
 
 // limit is how many connections there may be: as many as were set, and no more than leave the process the descriptors that are
@@ -126,25 +190,11 @@
 	n := max(fewest, int64(s.held()))
 	s.fits.Store(n)
 	s.o.Count.Clients.Short.Inc()
-	if due(&s.saidShort) {
+	if s.due(&s.saidShort) {
 		s.o.Log.Warn("descriptors run short, clients that rest longest make way", "code", "descriptors_short", "clients", n)
 	}
 }
 
-// await lets connections end, but not beyond a drain's time: what then is left is no whole request, or its
-// client does not read.
-func (s *Server) await() {
-	ended := make(chan struct{})
-	go func() {
-		s.open.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-time.After(s.o.Grace + drainSlack - time.Since(s.began)):
-	}
-}
-
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
@@ -216,7 +266,7 @@
 		_ = nc.Close() // it was gone already
 		return
 	}
-	if !c.waiting() { // the kernel has kept it: it has been silent for as long
+	if !c.waiting() && !s.draining() { // the kernel has kept it: it has been silent for as long
 		c.since, c.began = c.since.Add(-deferFor), c.began.Add(-deferFor)
 	}
 	s.o.Count.Clients.Opened.Inc()
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -61,6 +61,9 @@
 	busy      bool      // a request is in hand: whole, and not yet answered ...
 	uploading bool      // ... but for the rest of a large body
 
+	taken  []accounted // requests whose answers are not all handed to the kernel yet
+	broken bool        // an answer was broken off
+
 	large *body.File // of the request in hand; the connection's goroutine alone has it and what is still to come of it
 	rest  *paced
 }
@@ -133,6 +136,7 @@
 	defer c.mu.Unlock()
 	if c.handled {
 		c.handled, c.idle, c.since = false, true, time.Now()
+		c.release(false)
 	}
 }
 
@@ -215,10 +219,16 @@
 func (c *conn) giveWay(reason string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle || c.busy && !c.uploading || c.handled || c.doomed != "" {
+	if c.idle || c.busy && !c.uploading || c.handled || c.pressed {
 		return false
 	}
-	c.doomed, c.pressed = reason, true
+	if c.doomed != "" && reason != endDrained {
+		return false // its request crossed the end of a connection that makes way already
+	}
+	if c.doomed == "" {
+		c.doomed = reason
+	}
+	c.pressed = true
 	return c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
@@ -257,6 +267,9 @@
 
 // Reset has the connection end in a way that the client can tell from a whole answer's end.
 func (c *conn) Reset() {
+	c.mu.Lock()
+	c.broken = true
+	c.mu.Unlock()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // it fails on a connection that is broken anyway
 	}
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -1,63 +1,124 @@
 package ingress
 
-import "time"
+import (
+	"errors"
+	"net"
+	"time"
 
-const (
-	// newFor is how long new connections go on coming after a planned stop was announced: 0.4 s by the
-	// protocol, and a little for their first request. Until then idle connections stay open too: a client that
-	// lost its own would only come back here.
-	newFor = 450 * time.Millisecond
+	"golang.org/x/sys/unix"
+
+	"tackhub.example/tackhub/internal/drain"
+)
 
+const (
 	// firstFor is how long a connection that came late may take to send its request.
 	firstFor = 100 * time.Millisecond
 
-	// leastFor is the shortest drain: closing the listener resets what its backlog holds.
-	leastFor = 550 * time.Millisecond
-
-	// halfFor is when requests that are not whole are given up: what is whole by then still has its longest deadline, and an
-	// answer's slack, before the drain ends. One whose last byte came later would end without an answer.
-	halfFor = leastFor
-
-	// drainStep is how often a drain looks again; the accept queue is empty when nothing came for so long.
+	// drainStep is how often a stop looks again; the accept queue is empty when nothing came for so long.
 	drainStep = 10 * time.Millisecond
 
-	// drainSlack is what a drain may take beyond the longest deadline of what it took in last.
-	drainSlack = 650 * time.Millisecond
+	// lateQuiet is the same once everything that is read is refused.
+	lateQuiet = 2 * time.Millisecond
+
+	// heldBackEvery is how often the kernel is asked for connections that it holds back.
+	heldBackEvery = 50 * time.Millisecond
 )
 
-// Drain begins the end: whoever comes is still served, and connections end between requests.
-func (s *Server) Drain(l interface{ SetDeadline(time.Time) error }) {
-	if s.ending.Load() {
+// Drain begins a planned stop: whoever comes is still answered, and connections end between requests. A later call changes
+// nothing.
+func (s *Server) Drain(l *net.TCPListener, stop *drain.Schedule) {
+	if !s.stop.CompareAndSwap(nil, stop) {
 		return
 	}
-	s.began = time.Now()
-	s.ending.Store(true)
+	if !s.succeeded.Load() { // with a successor the listener is its too
+		// From now on silent connections are seen, and closed in order. Without it the kernel would hold them back and reset
+		// them with the listener.
+		if err := setDeferAccept(l, false); err != nil {
+			s.o.Log.Warn("silent connections stay with the kernel until the end", "code", "defer_accept", "error", err)
+		}
+	}
 	_ = l.SetDeadline(time.Now()) // wakes Serve; a broken listener shows there
 }
 
-// End ends at once what a drain would wait for.
-func (s *Server) End(l interface{ Close() error }) {
-	s.cut.Store(true)
-	_ = l.Close() // Serve returns; it may have closed it already
+func (s *Server) draining() bool { return s.stop.Load() != nil }
+
+// quietFor is how long nothing may have come for the queue to count as empty.
+func (s *Server) quietFor() time.Duration {
+	if stop := s.stop.Load(); stop != nil && stop.Reached(stop.LastForward, time.Now()) {
+		return lateQuiet
+	}
+	return drainStep
 }
 
-func (s *Server) draining() bool { return s.ending.Load() }
+// stopsAccepting ends what a planned stop can end by now, and reports whether the listener is to be closed.
+func (s *Server) stopsAccepting(l *net.TCPListener, quiet bool) bool {
+	stop := s.stop.Load()
+	if stop == nil {
+		return false
+	}
+	if s.succeeded.Load() {
+		return true // the queue is the other process's too
+	}
+	now := time.Now()
+	s.closeUnused(stop, now)
+	if stop.Reached(stop.LastAnswer, now) {
+		// What waits now is still refused in time, unless it never ends.
+		return !queued(l) || stop.Reached(stop.LastAnswer+drain.Standstill, now)
+	}
+	return quiet && stop.Reached(stop.CloseListener, now) && !s.heldBack(l, now) && !queued(l)
+}
+
+// ended ends what can be ended by now, and reports whether no connection is left.
+func (s *Server) ended() bool {
+	s.closeUnused(s.stop.Load(), time.Now())
+	return s.held() == 0
+}
 
-// drained ends idle connections once nobody new comes, and tells whether all is answered.
-func (s *Server) drained() bool {
-	since, conns := time.Since(s.began), s.all()
-	if since < newFor {
-		return len(conns) == 0 && s.succeeded.Load()
+// closeUnused ends connections that stand between requests, and those whose request has not come whole in time.
+func (s *Server) closeUnused(stop *drain.Schedule, now time.Time) {
+	if !stop.Reached(stop.CloseIdle, now) {
+		return
 	}
-	for _, c := range conns {
-		if d, ok := c.idleFor(); ok && (c.served() || d >= firstFor) {
+	last := stop.Reached(stop.LastAnswer, now)
+	half := stop.Reached(stop.GiveUpHalf, now)
+	for _, c := range s.all() {
+		if d, ok := c.idleFor(); ok && (last || c.served() || d >= firstFor) {
 			c.doom(endDrained)
 		}
-		if since >= halfFor {
+		if half {
 			c.giveWay(endDrained)
 		}
 	}
-	return len(conns) == 0 && (since >= leastFor || s.succeeded.Load()) || since >= s.o.Grace+drainSlack
+}
+
+// queued reports whether a connection waits in the listener's queue. That accept found its deadline past says nothing of it:
+// a process that was held up meanwhile is told so before the queue is looked at.
+func queued(l *net.TCPListener) bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	_ = raw.Control(func(fd uintptr) { // a closed one has no queue
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(p, 0)
+		waits = errors.Is(err, unix.EINTR) || err == nil && n > 0 && p[0].Revents&unix.POLLIN != 0
+	})
+	return waits
+}
+
+// heldBack reports whether the kernel still holds connections back from the listener. It is asked only now and then.
+func (s *Server) heldBack(l *net.TCPListener, now time.Time) bool {
+	if now.Sub(s.askedHeld) < heldBackEvery {
+		return s.anyHeld
+	}
+	s.askedHeld = now
+	held, err := anyHeldBack(l.Addr())
+	if err != nil { // where it may not be asked, such connections are reset with the listener
+		s.o.Count.Clients.HeldUnknown.Inc()
+	}
+	s.anyHeld = held
+	return s.anyHeld
 }
 
 // handDrain is a drain by hand, which may end: clients are sent elsewhere and the process runs on.
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -136,14 +136,14 @@
 const sayEvery = 10 * time.Second
 
 // due tells whether the log may say again what it said then, and notes that it does.
-func due(said *atomic.Int64) bool {
-	now, last := time.Now().UnixNano(), said.Load()
+func (s *Server) due(said *atomic.Int64) bool {
+	now, last := int64(time.Since(s.made)), said.Load()
 	return (last == 0 || now-last >= int64(sayEvery)) && said.CompareAndSwap(last, now)
 }
 
 // sayNoRoom tells whoever is on call that large bodies are refused, and whether the disk is why.
 func (s *Server) sayNoRoom(err error) {
-	if !due(&s.saidRoom) {
+	if !s.due(&s.saidRoom) {
 		return
 	}
 	s.o.Log.Warn("large requests are refused", "code", "no_room", "error", err, "refused", s.o.Count.Bodies.Refused.Get())
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math"
+	"net"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -14,7 +15,9 @@
 
 	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/drain"
 	"tackhub.example/tackhub/internal/exchange"
+	"tackhub.example/tackhub/internal/inflight"
 )
 
 const (
@@ -36,11 +39,14 @@
 type Options struct {
 	Desk   Desk
 	Bodies *body.Store
-	Most   int           // connections; SetMost changes it
-	Aside  int           // descriptors of the process that they must leave, where the system gives twice as many
-	Grace  time.Duration // the longest deadline a client may set: what is taken is answered within it
+	Most   int // connections; SetMost changes it
+	Aside  int // descriptors of the process that they must leave, where the system gives twice as many
 	Log    *slog.Logger
 	Count  *counters.Counters
+	// Broken begins a planned stop without a signal, where the listener has broken.
+	Broken func(l *net.TCPListener, err error)
+	// InFlight accounts for the requests that were taken.
+	InFlight *inflight.Account
 }
 
 // Desk serves requests.
@@ -53,19 +59,22 @@
 	o    Options
 	http fasthttp.Server
 
-	ending atomic.Bool
-	began  time.Time // of the drain; set before ending
+	made time.Time
+	stop atomic.Pointer[drain.Schedule] // nil: no planned stop has begun
+
+	askedHeld time.Time // when the kernel was last asked for connections that it holds back; Serve alone uses it
+	anyHeld   bool      // what it said
 
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
 	byHand *handDrain // nil: clients are welcome
 
 	most      atomic.Int64
-	cut       atomic.Bool // a second signal has come
 	succeeded atomic.Bool // another process takes the connections that come
 
-	saidRoom  atomic.Int64 // when the log last told that large bodies are refused, Unix nanoseconds
-	saidShort atomic.Int64 // the same of descriptors
+	saidRoom       atomic.Int64 // when the log last told that large bodies are refused, in nanoseconds since made
+	saidShort      atomic.Int64 // the same of descriptors
+	saidUnanswered atomic.Int64 // the same of requests that ended without a whole answer
 
 	fits atomic.Int64 // connections that leave the descriptors that are set aside, as far as it has shown
 
@@ -75,7 +84,10 @@
 
 // New makes a server.
 func New(o Options) *Server {
-	s := &Server{o: o, conns: map[*conn]struct{}{}}
+	if o.InFlight == nil {
+		o.InFlight = &inflight.Account{}
+	}
+	s := &Server{o: o, conns: map[*conn]struct{}{}, made: time.Now()}
 	s.SetMost(o.Most)
 	s.fits.Store(math.MaxInt64)
 	s.http = fasthttp.Server{
@@ -116,6 +128,7 @@
 func (s *Server) serve(c *conn) {
 	defer s.open.Done()
 	err := s.speak(c)
+	c.settle(err)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -176,11 +189,12 @@
 			s.refuse(ctx, c, status, code)
 			break
 		}
-		c.mu.Lock()
-		c.busy = true
-		c.mu.Unlock()
+		c.begin(string(ctx.Request.Header.Peek("X-Request-Id")), string(ctx.Request.Header.Peek("X-Class")))
 		s.o.Desk.Serve(ctx, c)
+		c.answered(ctx.Response.StatusCode())
 	}
+	// Without a deadline of its own an answer would wait for the next request where a part of that has come.
+	_ = ctx.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.mu.Lock()
 	c.handled, c.busy = true, false
 	c.mu.Unlock()
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -14,6 +14,8 @@
 	batchBytes = 32 << 10 // lines that wait together are written together: a call for each costs a busy node CPU
 
 	closeWait = 200 * time.Millisecond // at exit a stuck standard error must not hold the process
+
+	lineWait = 100 * time.Millisecond // a line of the end waits so long for its place in the queue
 )
 
 // Counter counts dropped lines.
@@ -70,6 +72,28 @@
 	return len(p), nil
 }
 
+// Waiting is the sink for the few lines that must not be lost: a full queue is waited for, for a bounded time.
+func (s *Sink) Waiting() *WaitingSink { return &WaitingSink{s} }
+
+// WaitingSink is an io.Writer into a sink that waits for a place in the queue.
+type WaitingSink struct{ sink *Sink }
+
+// Write queues one line, and drops it only where no place came free in time.
+func (w *WaitingSink) Write(p []byte) (int, error) {
+	line := append(make([]byte, 0, len(p)), p...)
+	limit := time.NewTimer(lineWait)
+	defer limit.Stop()
+	select {
+	case w.sink.lines <- line:
+	case <-limit.C:
+		w.sink.dropped.Inc()
+	}
+	return len(p), nil
+}
+
+// Logger writes one JSON object a line to the sink.
+func (w *WaitingSink) Logger(node string) *slog.Logger { return logger(w, node) }
+
 // Close writes what is queued, for a bounded time. Later lines are lost.
 func (s *Sink) Close() {
 	limit := time.After(closeWait)
@@ -86,5 +110,9 @@
 
 // Logger writes one JSON object a line to the sink.
 func (s *Sink) Logger(node string) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(s, nil)).With("node", node)
+	return logger(s, node)
+}
+
+func logger(out io.Writer, node string) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(out, nil)).With("node", node)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -20,8 +21,10 @@
 	"tackhub.example/tackhub/internal/config"
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/door"
+	"tackhub.example/tackhub/internal/drain"
 	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/internal/exchange"
+	"tackhub.example/tackhub/internal/inflight"
 	"tackhub.example/tackhub/internal/ingress"
 	"tackhub.example/tackhub/internal/part"
 	"tackhub.example/tackhub/internal/peers"
@@ -87,6 +90,9 @@
 	each    int                         // connections on either side
 	ending  sync.WaitGroup
 
+	plan     drain.Plan       // of a planned stop
+	inFlight inflight.Account // the requests that were taken, whichever front has them
+
 	subsystems *part.Set                      // what the operator file turns on
 	number     int                            // of the settings
 	carrier    atomic.Pointer[cluster.Teller] // of the module's messages; nil: peers, where there are any
@@ -109,7 +115,8 @@
 	for _, class := range set.Classes {
 		count.Operations[class.Name] = &counters.Operation{}
 	}
-	n := &node{name: c.Name, number: set.Node, each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set)}
+	n := &node{name: c.Name, number: set.Node, each: each, known: c.Known, clock: clk, count: count, window: longestWindow(set),
+		plan: drain.NewPlan(longest(set))}
 	n.catalog = catalog.New(catalog.Options{Address: c.Discovery, Nodes: set.Nodes, Subscribe: set.Subscribe,
 		MustAsk: clock.Span(set.MustAskIn), Grace: clock.Span(set.DrainGrace), Log: log, Count: count}, c.Known)
 	n.roster = roster.New(n.catalog, lateNews{n})
@@ -131,7 +138,11 @@
 	bodies := body.New(os.Getenv("TMPDIR"), files, max(fewestFiles, int(c.Limits.MemoryMB*bodyShare*(1<<20))/body.Piece), &count.Bodies)
 	n.desk = exchange.NewDesk(exchange.Options{Router: n.engine, Send: n.send, Clock: clk, Bodies: bodies, Classes: set.Classes,
 		Slack: c.Settings.AnswerSlack, Log: log, Count: count})
-	n.ingress = ingress.New(ingress.Options{Desk: n.desk, Bodies: bodies, Most: each, Aside: own / 2, Grace: longest(set), Log: log, Count: count})
+	n.ingress = ingress.New(ingress.Options{Desk: n.desk, Bodies: bodies, Most: each, Aside: own / 2, InFlight: &n.inFlight, Log: log, Count: count,
+		Broken: func(l *net.TCPListener, err error) {
+			log.Error("the listener is broken, the node ends once all is answered", "code", "listener_broken", "error", err)
+			n.beginStop(n.plan.Start(time.Now()), l, "", log)
+		}})
 	return n, nil
 }
 
@@ -256,6 +267,9 @@
 // Classes are those of the settings.
 func (n *node) Classes() []logic.Class { return n.classes }
 
+// InFlight accounts for the requests that the node has taken.
+func (n *node) InFlight() *inflight.Account { return &n.inFlight }
+
 // Name is the node's.
 func (n *node) Name() string { return n.name }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"log/slog"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -94,10 +93,13 @@
 	n.serving.Store(true)
 	err = n.ingress.Serve(listener)
 	n.subsystems.Stop()
+	<-n.inFlight.Empty() // whichever front has it: nothing that was taken is cut off
 	cancel()
 	n.wait()
-	log.Info("counters", "code", "counters", "counters", rawJSON(count.JSON()))
-	log.Info("ended", "code", "end")
+	last := sink.Waiting().Logger(c.Name) // the lines of the end wait for their place
+	n.logStopEnd(last)
+	last.Info("counters", "code", "counters", "counters", rawJSON(count.JSON()))
+	last.Info("ended", "code", "end")
 	return err
 }
 
@@ -123,17 +125,6 @@
 // memoryLimit is the collector's, in bytes.
 func memoryLimit(l config.Limits) int64 { return int64(l.MemoryMB * memoryShare * (1 << 20)) }
 
-// onSignals drains at the first signal and ends at the second.
-func (n *node) onSignals(stop <-chan os.Signal, l *net.TCPListener, log *slog.Logger) {
-	sig := <-stop
-	n.serving.Store(false)
-	n.ingress.Drain(l)
-	log.Info("draining", "code", "drain", "signal", sig.String())
-	<-stop
-	log.Warn("ended by a second signal", "code", "end")
-	n.ingress.End(l)
-}
-
 // reportOn writes the counters to the log whenever a signal asks for them.
 func reportOn(ctx context.Context, ask <-chan os.Signal, log *slog.Logger, count *counters.Counters) {
 	for {
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"tackhub.example/tackhub/internal/drain"
+	"tackhub.example/tackhub/internal/inflight"
+)
+
+// repeatsSaid bounds the log lines for further signals of one stop; all are counted.
+const repeatsSaid = 3
+
+// onSignals begins a planned stop at the first signal. Further ones change nothing: what was taken is still owed.
+func (n *node) onSignals(stop <-chan os.Signal, l *net.TCPListener, log *slog.Logger) {
+	first := <-stop
+	n.beginStop(n.plan.Start(time.Now()), l, first.String(), log)
+	for again := range stop {
+		n.count.Stop.Repeated.Inc()
+		if n.count.Stop.Repeated.Get() <= repeatsSaid {
+			log.Info("stopping already, a further signal changes nothing", "code", "drain_again", "signal", again.String())
+		}
+	}
+}
+
+// beginStop has all fronts follow the schedule.
+func (n *node) beginStop(schedule *drain.Schedule, l *net.TCPListener, signal string, log *slog.Logger) {
+	n.serving.Store(false)
+	n.inFlight.BeginStop(schedule.Began)
+	n.desk.Stop(schedule)
+	n.ingress.Drain(l, schedule)
+	log.Info("draining", "code", "drain", "signal", signal, "open", n.inFlight.Open(),
+		"close_idle_ms", schedule.CloseIdle.Milliseconds(),
+		"close_listener_ms", schedule.CloseListener.Milliseconds(),
+		"last_forward_ms", schedule.LastForward.Milliseconds(),
+		"last_answer_ms", schedule.LastAnswer.Milliseconds(),
+		"kill_ms", schedule.Kill.Milliseconds())
+}
+
+// logStopEnd leaves one line of what became of the requests of a planned stop.
+func (n *node) logStopEnd(log *slog.Logger) {
+	figures, ok := n.inFlight.StopFigures()
+	if !ok {
+		return
+	}
+	log.Info("drained", "code", "drain_end", "took_ms", time.Since(figures.Began).Milliseconds(),
+		"open_at_signal", figures.OpenThen, "read_since", figures.ReadSince,
+		"answered", figures.Outcomes[inflight.Answered],
+		"refused", figures.Outcomes[inflight.Refused],
+		"client_left", figures.Outcomes[inflight.ClientLeft],
+		"unanswered", figures.Outcomes[inflight.Unanswered],
+		"latest_answer_ms", figures.Latest.Milliseconds(),
+		"open", n.inFlight.Open(), "further_signals", n.count.Stop.Repeated.Get())
+}
