Bear failing system calls: retried when interrupted, told apart by their number, never a spin

Found by reading each accept, connect, peek, poll and datagram loop: - an interrupted peek or poll at a client's connection counted as "nothing there", and the leaving of a client was not seen any more; both are made again now (internal/socket); - connect failing with ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, ENETDOWN, EACCES or EPERM was held against the server, so that a moment's want at this machine excluded servers; they count as not sent, as EMFILE and ENFILE did already. A listener that is broken for a second ends the node by a drain.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -383,6 +383,9 @@
 	l.count.SentBytes.Add(int64(len(raw)))
 }
 
+// readPause keeps an error that stays, such as a want of buffers, from taking the core.
+const readPause = time.Millisecond
+
 // read takes datagrams in until the socket is closed.
 func (l *link) read(ctx context.Context) {
 	buffer := make([]byte, packetMost+1)
@@ -394,6 +397,7 @@
 		}
 		if err != nil {
 			l.drop("read") // such as a member's port that is closed: it concerns one datagram
+			time.Sleep(readPause)
 			continue
 		}
 		if now := l.now(); now-second >= time.Second {
--- a/internal/handover/keeper.go
+++ b/internal/handover/keeper.go
@@ -20,6 +20,19 @@
 // operators' page it is ready within 6 s.
 const readyTime = 15 * time.Second
 
+// acceptPause is how long accepting rests after an error: most pass by themselves.
+const acceptPause = 100 * time.Millisecond
+
+// pause waits, or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Node is the process that serves, as the next one finds it.
 type Node interface {
 	// Beside says that there is a second process from now on, or no longer.
@@ -105,9 +118,13 @@
 	defer stop()
 	for {
 		conn, err := k.listener.AcceptUnix()
-		if err != nil {
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			break // the context has ended, or nothing can come any more
 		}
+		if err != nil { // out of descriptors, or the caller was gone already
+			pause(ctx, acceptPause)
+			continue
+		}
 		if why := k.meet(&link{conn, bufio.NewReader(conn)}); why != nil && ctx.Err() == nil {
 			k.log.Warn("the next process broke off, this one goes on", "code", "handover_failed", "error", why)
 		}
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tackhub.example/tackhub/internal/socket"
 )
 
 const (
@@ -59,7 +61,7 @@
 }
 
 // setDeferAccept has the kernel hold silent connections back, or hand each over at once.
-func setDeferAccept(l *net.TCPListener, on bool) error {
+func setDeferAccept(l Listener, on bool) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return err
@@ -76,7 +78,7 @@
 
 // Serve accepts connections until a planned stop ends that or the listener breaks, and returns once every connection has
 // ended. What was taken is answered in either case: there is no time after which it is cut off.
-func (s *Server) Serve(l *net.TCPListener) error {
+func (s *Server) Serve(l Listener) error {
 	err := s.accept(l)
 	if err != nil {
 		s.o.Broken(l, err)
@@ -98,7 +100,7 @@
 }
 
 // accept takes connections in until a planned stop ends that; the error tells that the listener is broken.
-func (s *Server) accept(l *net.TCPListener) error {
+func (s *Server) accept(l Listener) error {
 	quiet := false            // the queue was found empty
 	var brokenSince time.Time // zero: the last call gave no sign that the listener is broken
 	for !s.stopsAccepting(l, quiet) {
@@ -112,7 +114,7 @@
 			_ = l.SetDeadline(time.Now().Add(s.quietFor())) // a broken listener shows in Accept
 		}
 		nc, err := l.AcceptTCP()
-		if !isBroken(err) {
+		if !socket.IsBroken(err) {
 			brokenSince = time.Time{}
 		}
 		switch {
@@ -123,9 +125,9 @@
 			quiet = true
 		case errors.Is(err, net.ErrClosed):
 			return err
-		case isBroken(err) && brokenSince.IsZero():
+		case socket.IsBroken(err) && brokenSince.IsZero():
 			brokenSince = time.Now()
-		case isBroken(err) && time.Since(brokenSince) >= brokenFor:
+		case socket.IsBroken(err) && time.Since(brokenSince) >= brokenFor:
 			return err
 		default: // out of descriptors or buffers, or the connection was gone already
 			s.o.Count.Clients.Paused.Inc()
@@ -136,25 +138,12 @@
 	return nil
 }
 
-// isBroken reports whether an error of accept says that the listener itself is of no use any more.
-func isBroken(err error) bool {
-	for _, errno := range []syscall.Errno{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP} {
-		if errors.Is(err, errno) {
-			return true
-		}
-	}
-	return false
-}
-
 // shortOf makes room where accept fails for want of descriptors or memory. Other errors concern one connection or pass by
 // themselves, and no client has to go for them.
 func (s *Server) shortOf(err error) {
-	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, errno) {
-			s.shorten()
-			s.evict(0)
-			return
-		}
+	if socket.IsShort(err) {
+		s.shorten()
+		s.evict(0)
 	}
 }
 
@@ -195,9 +184,10 @@
 	}
 }
 
+// isTimeout reports whether a time of the node's own has passed. A connection that the kernel gave up (ETIMEDOUT) has broken.
 func isTimeout(err error) bool {
 	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
+	return errors.As(err, &ne) && ne.Timeout() && !errors.Is(err, syscall.ETIMEDOUT)
 }
 
 // room tells whether another connection may come. Well before the limit those longest idle make way.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -13,6 +13,7 @@
 
 	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/exchange"
+	"tackhub.example/tackhub/internal/socket"
 )
 
 // The reason codes with which a client's connection ends, besides those that an exchange gives;
@@ -293,8 +294,7 @@
 func (c *conn) waiting() bool {
 	got := false
 	_ = c.raw.Control(func(fd uintptr) { // a closed connection has none
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := socket.Peek(fd)
 		got = err == nil && n > 0
 	})
 	return got
@@ -310,24 +310,16 @@
 // peek looks at what has come, and takes nothing. An end behind bytes that nobody has read is an end: a client may have
 // sent more than its request and gone.
 func peek(fd uintptr) int {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, err := socket.Peek(fd)
 	switch {
-	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+	case errors.Is(err, syscall.EAGAIN):
 		return peekNothing
-	case err == nil && n > 0 && !ended(fd):
+	case err == nil && n > 0 && !socket.Ended(fd):
 		return peekData
 	}
 	return peekEnd
 }
 
-// ended tells whether the client's end has come, or the connection has broken, whatever lies before it unread.
-func ended(fd uintptr) bool {
-	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(p, 0)
-	return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-}
-
 // Left tells whether the client has gone already.
 func (c *conn) Left() bool {
 	seen := peekNothing
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -1,13 +1,10 @@
 package ingress
 
 import (
-	"errors"
-	"net"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"tackhub.example/tackhub/internal/drain"
+	"tackhub.example/tackhub/internal/socket"
 )
 
 const (
@@ -26,7 +23,7 @@
 
 // Drain begins a planned stop: whoever comes is still answered, and connections end between requests. A later call changes
 // nothing.
-func (s *Server) Drain(l *net.TCPListener, stop *drain.Schedule) {
+func (s *Server) Drain(l Listener, stop *drain.Schedule) {
 	if !s.stop.CompareAndSwap(nil, stop) {
 		return
 	}
@@ -51,7 +48,7 @@
 }
 
 // stopsAccepting ends what a planned stop can end by now, and reports whether the listener is to be closed.
-func (s *Server) stopsAccepting(l *net.TCPListener, quiet bool) bool {
+func (s *Server) stopsAccepting(l Listener, quiet bool) bool {
 	stop := s.stop.Load()
 	if stop == nil {
 		return false
@@ -93,22 +90,18 @@
 
 // queued reports whether a connection waits in the listener's queue. That accept found its deadline past says nothing of it:
 // a process that was held up meanwhile is told so before the queue is looked at.
-func queued(l *net.TCPListener) bool {
+func queued(l Listener) bool {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return false
 	}
 	waits := false
-	_ = raw.Control(func(fd uintptr) { // a closed one has no queue
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(p, 0)
-		waits = errors.Is(err, unix.EINTR) || err == nil && n > 0 && p[0].Revents&unix.POLLIN != 0
-	})
+	_ = raw.Control(func(fd uintptr) { waits = socket.Readable(fd) }) // a closed one has no queue
 	return waits
 }
 
 // heldBack reports whether the kernel still holds connections back from the listener. It is asked only now and then.
-func (s *Server) heldBack(l *net.TCPListener, now time.Time) bool {
+func (s *Server) heldBack(l Listener, now time.Time) bool {
 	if now.Sub(s.askedHeld) < heldBackEvery {
 		return s.anyHeld
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -35,6 +36,14 @@
 	countersPath = "/_counters" // no class can have it: admission asks for a class of the settings
 )
 
+// Listener is where clients' connections come from: a *net.TCPListener, or in tests one that fails.
+type Listener interface {
+	net.Listener
+	AcceptTCP() (*net.TCPConn, error)
+	SetDeadline(time.Time) error
+	SyscallConn() (syscall.RawConn, error)
+}
+
 // Options are what a server works with.
 type Options struct {
 	Desk   Desk
@@ -44,7 +53,7 @@
 	Log    *slog.Logger
 	Count  *counters.Counters
 	// Broken begins a planned stop without a signal, where the listener has broken.
-	Broken func(l *net.TCPListener, err error)
+	Broken func(l Listener, err error)
 	// InFlight accounts for the requests that were taken.
 	InFlight *inflight.Account
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -139,7 +138,7 @@
 	n.desk = exchange.NewDesk(exchange.Options{Router: n.engine, Send: n.send, Clock: clk, Bodies: bodies, Classes: set.Classes,
 		Slack: c.Settings.AnswerSlack, Log: log, Count: count})
 	n.ingress = ingress.New(ingress.Options{Desk: n.desk, Bodies: bodies, Most: each, Aside: own / 2, InFlight: &n.inFlight, Log: log, Count: count,
-		Broken: func(l *net.TCPListener, err error) {
+		Broken: func(l ingress.Listener, err error) {
 			log.Error("the listener is broken, the node ends once all is answered", "code", "listener_broken", "error", err)
 			n.beginStop(n.plan.Start(time.Now()), l, "", log)
 		}})
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -2,19 +2,19 @@
 
 import (
 	"log/slog"
-	"net"
 	"os"
 	"time"
 
 	"tackhub.example/tackhub/internal/drain"
 	"tackhub.example/tackhub/internal/inflight"
+	"tackhub.example/tackhub/internal/ingress"
 )
 
 // repeatsSaid bounds the log lines for further signals of one stop; all are counted.
 const repeatsSaid = 3
 
 // onSignals begins a planned stop at the first signal. Further ones change nothing: what was taken is still owed.
-func (n *node) onSignals(stop <-chan os.Signal, l *net.TCPListener, log *slog.Logger) {
+func (n *node) onSignals(stop <-chan os.Signal, l ingress.Listener, log *slog.Logger) {
 	first := <-stop
 	n.beginStop(n.plan.Start(time.Now()), l, first.String(), log)
 	for again := range stop {
@@ -26,7 +26,7 @@
 }
 
 // beginStop has all fronts follow the schedule.
-func (n *node) beginStop(schedule *drain.Schedule, l *net.TCPListener, signal string, log *slog.Logger) {
+func (n *node) beginStop(schedule *drain.Schedule, l ingress.Listener, signal string, log *slog.Logger) {
 	n.serving.Store(false)
 	n.inFlight.BeginStop(schedule.Began)
 	n.desk.Stop(schedule)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// readPause keeps an error that stays, such as a want of buffers, from taking the core.
+const readPause = time.Millisecond
+
 func (l *Link) read(ctx context.Context) {
 	buffer := make([]byte, headLen+logic.MessageMost+1)
 	second, taken := time.Time{}, 0
@@ -133,6 +136,7 @@
 		}
 		if err != nil {
 			l.drop("read") // such as a peer's port that is closed: it concerns one datagram
+			time.Sleep(readPause)
 			continue
 		}
 		if now := time.Now(); now.Sub(second) >= time.Second {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,6 +11,7 @@
 	"tackhub.example/tackhub/internal/body"
 	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/engine"
+	"tackhub.example/tackhub/internal/socket"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -235,12 +235,7 @@
 	return logic.Errored
 }
 
-// isLimit tells whether nothing was sent for a reason of our own: our limits, or a server that has just left.
+// isLimit tells whether nothing was sent for a reason of our own: our limits, our machine's, or a server that has just left.
 func isLimit(err error) bool {
-	return errors.Is(err, errRoom) || errors.Is(err, errAddress) || outOfFiles(err)
-}
-
-// outOfFiles tells whether the system gave no descriptor.
-func outOfFiles(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+	return errors.Is(err, errRoom) || errors.Is(err, errAddress) || socket.IsLocal(err)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,12 +8,14 @@
 	"syscall"
 	"time"
 
+	"tackhub.example/tackhub/internal/socket"
 	"tackhub.example/tackhub/logic"
 )
 
 // The reason codes with which a connection to a server ends; docs/oncall.md lists them.
 const (
 	endRefused    = "connect_refused"  // no connection: refused or reset
+	endLocal      = "connect_local"    // no connection: this machine has no route or refuses it itself
 	endNoConnect  = "connect_timeout"  // no connection within the settings' time
 	endIdle       = "idle"             // dropped before the server would
 	endPeerClosed = "server_closed"    // closed by the server while idle
@@ -79,8 +81,7 @@
 	}
 	ok := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := socket.Peek(fd)
 		ok = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/socket"
 	"tackhub.example/tackhub/logic"
 )
 
@@ -229,8 +230,10 @@
 	switch {
 	case ctx.Err() != nil:
 		return endGaveUp
-	case outOfFiles(err):
+	case socket.IsShort(err):
 		return endEvicted
+	case socket.IsLocal(err):
+		return endLocal
 	case errors.As(err, &ne) && ne.Timeout(): // the dialer's own error, not the one of a connection's deadline
 		return endNoConnect
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -528,3 +528,23 @@
 		t.Errorf("told of %d, want one more: answered whole and closed", gone["s2"])
 	}
 }
+
+// TestLocalConnectErrorsAreNotHeldAgainstTheServer: connect fails for a reason of this machine's, or of the server's.
+func TestLocalConnectErrorsAreNotHeldAgainstTheServer(t *testing.T) {
+	for errno, want := range map[syscall.Errno]logic.Result{
+		syscall.ENFILE: logic.Void, syscall.EMFILE: logic.Void, syscall.ENOBUFS: logic.Void, syscall.EADDRNOTAVAIL: logic.Void,
+		syscall.ENETUNREACH: logic.Void, syscall.ECONNREFUSED: logic.Unreachable, syscall.EHOSTUNREACH: logic.Unreachable,
+		syscall.ETIMEDOUT: logic.Unreachable,
+	} {
+		p, _ := testPool(addresses{"s": "127.0.0.1:1"}, 4, 4)
+		p.dialer.Control = func(string, string, syscall.RawConn) error { return os.NewSyscallError("connect", errno) }
+		ended := make(chan engine.End, 1)
+		p.Send("s", engine.Copy{Bytes: []byte("x")}, func(e engine.End) { ended <- e })
+		if got := (<-ended).Result; got != want {
+			t.Errorf("%v: %s, want %s", errno, engine.ResultName(got), engine.ResultName(want))
+		}
+		if p.total != 0 {
+			t.Errorf("%v: a place is lost", errno)
+		}
+	}
+}
