--- a/cmd/tackhub/main.go
+++ b/cmd/tackhub/main.go
@@ -46,7 +46,7 @@
 		{Name: "version", Help: "Print the build", Run: func(_ []string, out io.Writer) error { return version(out) }},
 	}, About: []string{
 		"",
-		"Signals while it serves: SIGTERM drains and ends it, a second one ends it at once, SIGHUP reads its files again,",
+		"Signals while it serves: SIGTERM or SIGINT drains and ends it (further ones change nothing), SIGHUP reads its files again,",
 		"SIGUSR1 writes the counters to the log.",
 		"Exit codes: 0 planned end or a good check, 1 failed or faults found, 2 the command line cannot be read.",
 	}}
--- a/internal/coap/back/back.go
+++ b/internal/coap/back/back.go
@@ -88,14 +88,13 @@
 	addr string
 	conn *net.UDPConn
 
-	mu     sync.Mutex
-	id     uint16
-	token  uint64
-	waits  map[string]chan arrival // by token
-	byID   map[uint16]chan arrival
-	out    int // attempts
-	used   time.Time
-	closed bool
+	mu    sync.Mutex
+	id    uint16
+	token uint64
+	waits map[string]chan arrival // by token
+	byID  map[uint16]chan arrival
+	out   int // attempts
+	used  time.Time
 }
 
 // arrival is what came for an exchange: a message, or that there is nobody.
--- a/internal/members/core.go
+++ b/internal/members/core.go
@@ -126,7 +126,6 @@
 	state    State // Joining, Alive, Left or Replaced
 	cond     Condition
 	health   int
-	healthAt time.Duration // last raised or lowered
 	heardAny time.Duration // a message of any member came, standstills taken out
 	ackAny   time.Duration // a sign that somebody heard this process, likewise
 	met      bool          // anybody at all, ever
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -148,7 +148,7 @@
 		}
 		if s == nil || s.member.HostPort != m.HostPort {
 			s = &server{client: &fasthttp.HostClient{Addr: m.HostPort, MaxConns: 512, MaxIdemponentCallAttempts: 1,
-				NoDefaultUserAgentHeader: true, Dial: dial, RetryIf: func(*fasthttp.Request) bool { return false }}}
+				NoDefaultUserAgentHeader: true, Dial: dial, RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }}}
 			n.servers[m.ID] = s
 		}
 		s.member, s.closed = m, m.Phase != "SERVING"
--- a/lab/fleet/coap.go
+++ b/lab/fleet/coap.go
@@ -23,7 +23,6 @@
 	conn    net.PacketConn
 	table   *dedup.Table
 	uploads *blocks.Store
-	id      uint16
 }
 
 // SpeaksCoap tells whether a server is listed by the scheme coap://.
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -32,8 +32,7 @@
 	falls    []audit.Fall
 	stalls   []audit.Stall
 
-	work   atomic.Int64 // microseconds of work begun
-	served atomic.Int64
+	work atomic.Int64 // microseconds of work begun
 }
 
 // pod guards the model of one pod: its servers share a limit and a memory of keys.
--- a/logic/fuzz_test.go
+++ b/logic/fuzz_test.go
@@ -5,12 +5,11 @@
 // book checks the contract from outside: one final answer, no effect twice, nothing to a server known to
 // drain, no second copies where they are not allowed, attempts within the cap.
 type book struct {
-	t       *testing.T
-	set     Settings
-	state   map[ServerID]ServerEntry
-	classes map[string]Class
-	reqs    map[RequestID]*entry
-	order   []RequestID
+	t     *testing.T
+	set   Settings
+	state map[ServerID]ServerEntry
+	reqs  map[RequestID]*entry
+	order []RequestID
 }
 
 type entry struct {
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -157,7 +157,9 @@
 		t.Errorf("told twice of 9 requests: %v", got)
 	}
 	b.now += 4 * toldOld
-	if b.step(TimerFired{"sweep"}); b.l.hearing() || b.l.hearing() || count[Log](b.l.out) != 1 {
+	b.step(TimerFired{"sweep"})
+	first, again := b.l.hearing(), b.l.hearing() // it is logged once
+	if first || again || count[Log](b.l.out) != 1 {
 		t.Errorf("a node long silent: still believed, or %d log lines", count[Log](b.l.out))
 	}
 	b.l.set.Peers = false
