--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -119,7 +119,7 @@
 		}
 		switch {
 		case err == nil:
-			s.heed(nc)
+			s.noteDescriptor(nc)
 			s.take(nc)
 		case isTimeout(err):
 			quiet = true
@@ -131,18 +131,18 @@
 			return err
 		default: // out of descriptors or buffers, or the connection was gone already
 			s.o.Count.Clients.Paused.Inc()
-			s.shortOf(err)
+			s.makeRoom(err)
 			time.Sleep(pauseStep)
 		}
 	}
 	return nil
 }
 
-// shortOf makes room where accept fails for want of descriptors or memory. Other errors concern one connection or pass by
+// makeRoom makes room where accept fails for want of descriptors or memory. Other errors concern one connection or pass by
 // themselves, and no client has to go for them.
-func (s *Server) shortOf(err error) {
+func (s *Server) makeRoom(err error) {
 	if socket.IsShort(err) {
-		s.shorten()
+		s.lowerLimit()
 		s.evict(0)
 	}
 }
@@ -151,10 +151,10 @@
 // set aside.
 func (s *Server) limit() int { return int(min(s.most.Load(), s.fits.Load())) }
 
-// heed looks at the descriptor that a connection was given. The kernel gives the lowest that is free, so one that is among the
+// noteDescriptor looks at the descriptor that a connection was given. The kernel gives the lowest that is free, so one that is among the
 // last says how few are left, whoever holds the others. The system's limit is asked for each time: it may be lowered while the
 // process runs.
-func (s *Server) heed(nc *net.TCPConn) {
+func (s *Server) noteDescriptor(nc *net.TCPConn) {
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		return
@@ -168,14 +168,14 @@
 	short := false
 	_ = raw.Control(func(fd uintptr) { short = uint64(fd) >= mark }) // a closed one has none
 	if short {
-		s.shorten()
+		s.lowerLimit()
 	} else if n := int64(s.held()) + 1; n >= s.fits.Load() {
 		s.fits.Store(n + 1) // there is room for one more at least
 	}
 }
 
-// shorten has no more connections than there are now, and says once why those that rest longest make way.
-func (s *Server) shorten() {
+// lowerLimit has no more connections than there are now, and says once why those that rest longest make way.
+func (s *Server) lowerLimit() {
 	n := max(fewest, int64(s.held()))
 	s.fits.Store(n)
 	s.o.Count.Clients.Short.Inc()
@@ -223,9 +223,9 @@
 			idle = append(idle, idler{c, d})
 		}
 	}
-	end := func(c *conn) bool { return c.doom(endEvicted) }
+	end := func(c *conn) bool { return c.closeWhenIdle(endEvicted) }
 	if len(idle) == 0 && least == 0 { // thousands may connect and never finish a request
-		end = func(c *conn) bool { return c.giveWay(endEvicted) }
+		end = func(c *conn) bool { return c.endIncomplete(endEvicted) }
 		for _, c := range s.all() {
 			if d, ok := c.silentFor(); ok && d >= silentLeast {
 				idle = append(idle, idler{c, d})
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -52,13 +52,13 @@
 	mu        sync.Mutex
 	idle      bool // waiting for a request's first byte
 	handled   bool // the last request has its answer, which may yet be written
-	doomed    string
+	closing   string
 	reason    string
 	lastRead  time.Time
 	since     time.Time // idle since
 	requests  int
 	began     time.Time // the request that is coming or in hand
-	pressed   bool      // made way with a request that was not whole: only what is here already is read
+	cutShort  bool      // made way with a request that was not whole: only what is here already is read
 	busy      bool      // a request is in hand: whole, and not yet answered ...
 	uploading bool      // ... but for the rest of a large body
 
@@ -66,7 +66,7 @@
 	broken bool        // an answer was broken off
 
 	large *body.File // of the request in hand; the connection's goroutine alone has it and what is still to come of it
-	rest  *paced
+	rest  *pacedBody
 }
 
 func newConn(nc *net.TCPConn, s *Server) (*conn, error) {
@@ -82,13 +82,13 @@
 func (c *conn) Read(p []byte) (int, error) {
 	c.await()
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.crossing() && c.waiting() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.mayHaveCrossed() && c.waiting() {
 		// The request crossed our closing, for a drain, for room or after the idle time: it is here, so it is
 		// taken.
 		if derr := c.Conn.SetReadDeadline(time.Now().Add(headTime)); derr == nil {
 			n, err = c.Conn.Read(p)
 		}
-		if n > 0 && c.isPressed() { // the rest of it must be here as well
+		if n > 0 && c.isCutShort() { // the rest of it must be here as well
 			_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // it fails on a broken connection alone
 		}
 	}
@@ -105,10 +105,10 @@
 		c.idle, c.lastRead = false, came
 		return n, err
 	}
-	if c.doomed != "" {
-		c.end(c.doomed)
+	if c.closing != "" {
+		c.end(c.closing)
 	}
-	if c.doomed != "" && c.idle {
+	if c.closing != "" && c.idle {
 		return 0, io.EOF // else the server would answer a request that never came
 	}
 	c.end(c.readReason(err))
@@ -192,69 +192,69 @@
 	return c.lastRead
 }
 
-// closing tells why the connection is to end with its next answer, or "".
-func (c *conn) closing() string {
+// closeReason tells why the connection is to end with its next answer, or "".
+func (c *conn) closeReason() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.doomed == "" && (c.server.draining() || c.server.Drained()) {
+	if c.closing == "" && (c.server.draining() || c.server.Drained()) {
 		return endDrained
 	}
-	return c.doomed
+	return c.closing
 }
 
-// crossing tells whether what comes now may have crossed our closing.
-func (c *conn) crossing() bool {
+// mayHaveCrossed tells whether what comes now may have crossed our closing.
+func (c *conn) mayHaveCrossed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle || c.pressed
+	return c.idle || c.cutShort
 }
 
 // silentFor is how long nothing has come on a connection whose request is not whole yet; false where it has none such.
 func (c *conn) silentFor() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.lastRead), !c.idle && !c.busy && !c.handled && c.doomed == ""
+	return time.Since(c.lastRead), !c.idle && !c.busy && !c.handled && c.closing == ""
 }
 
-// giveWay ends a connection whose request is not whole. Should the rest have come meanwhile it is still served.
-func (c *conn) giveWay(reason string) bool {
+// endIncomplete ends a connection whose request is not whole. Should the rest have come meanwhile it is still served.
+func (c *conn) endIncomplete(reason string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle || c.busy && !c.uploading || c.handled || c.pressed {
+	if c.idle || c.busy && !c.uploading || c.handled || c.cutShort {
 		return false
 	}
-	if c.doomed != "" && reason != endDrained {
+	if c.closing != "" && reason != endDrained {
 		return false // its request crossed the end of a connection that makes way already
 	}
-	if c.doomed == "" {
-		c.doomed = reason
+	if c.closing == "" {
+		c.closing = reason
 	}
-	c.pressed = true
+	c.cutShort = true
 	return c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
-func (c *conn) isPressed() bool {
+func (c *conn) isCutShort() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pressed
+	return c.cutShort
 }
 
-// doom ends the connection if it stands between requests. A request that has arrived meanwhile is still served.
-func (c *conn) doom(reason string) bool {
+// closeWhenIdle ends the connection if it stands between requests. A request that has arrived meanwhile is still served.
+func (c *conn) closeWhenIdle(reason string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.doomed != "" {
+	if !c.idle || c.closing != "" {
 		return false
 	}
-	c.doomed = reason
+	c.closing = reason
 	return c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
-// SetReadDeadline leaves the end that a doomed connection was given: the server sets its own as it begins to read.
+// SetReadDeadline leaves the end that a closing connection was given: the server sets its own as it begins to read.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pressed || c.doomed != "" && c.idle {
+	if c.cutShort || c.closing != "" && c.idle {
 		return nil
 	}
 	if first := c.began.Add(headTime); c.requests == 0 && t.After(first) {
@@ -276,18 +276,18 @@
 	}
 }
 
-// doomedFor tells whether the connection was told to end for a reason.
-func (c *conn) doomedFor(reason string) bool {
+// closesFor tells whether the connection was told to end for a reason.
+func (c *conn) closesFor(reason string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.doomed == reason
+	return c.closing == reason
 }
 
 // idleFor is how long the connection has stood between requests; false if it does not.
 func (c *conn) idleFor() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.since), c.idle && c.doomed == ""
+	return time.Since(c.since), c.idle && c.closing == ""
 }
 
 // waiting tells whether bytes have come that nobody has read.
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -48,7 +48,7 @@
 // TestCrossedRequestIsRead lets a request arrive just before the node's closing takes effect.
 func TestCrossedRequestIsRead(t *testing.T) {
 	for name, closing := range map[string]func(*conn){
-		"doomed":    func(c *conn) { c.doom(endDrained) },
+		"doomed":    func(c *conn) { c.closeWhenIdle(endDrained) },
 		"idle time": func(c *conn) { _ = c.SetReadDeadline(time.Unix(1, 0)) },
 	} {
 		client, c := pair(t)
@@ -66,7 +66,7 @@
 
 func TestDoomedConnectionEndsBetweenRequests(t *testing.T) {
 	_, c := pair(t)
-	if !c.doom(endEvicted) {
+	if !c.closeWhenIdle(endEvicted) {
 		t.Fatal("an idle connection cannot be closed")
 	}
 	if n, err := c.Read(make([]byte, 8)); n != 0 || err != io.EOF || c.reason != endEvicted {
@@ -79,7 +79,7 @@
 	if _, err := busy.Read(make([]byte, 8)); err != nil {
 		t.Fatal(err)
 	}
-	if busy.doom(endEvicted) {
+	if busy.closeWhenIdle(endEvicted) {
 		t.Error("a connection with a request in hand was closed")
 	}
 }
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -80,10 +80,10 @@
 	half := stop.Reached(stop.GiveUpHalf, now)
 	for _, c := range s.all() {
 		if d, ok := c.idleFor(); ok && (last || c.served() || d >= firstFor) {
-			c.doom(endDrained)
+			c.closeWhenIdle(endDrained)
 		}
 		if half {
-			c.giveWay(endDrained)
+			c.endIncomplete(endDrained)
 		}
 	}
 }
@@ -174,7 +174,7 @@
 	for !s.draining() {
 		left := handBatch
 		for _, c := range s.all() {
-			if idle, ok := c.idleFor(); ok && left > 0 && (c.served() || idle >= firstFor) && c.doom(endDrained) {
+			if idle, ok := c.idleFor(); ok && left > 0 && (c.served() || idle >= firstFor) && c.closeWhenIdle(endDrained) {
 				left--
 			}
 		}
--- a/internal/ingress/receive.go
+++ b/internal/ingress/receive.go
@@ -25,15 +25,15 @@
 	bodySlack = 500 * time.Millisecond
 )
 
-// paced reads a body as long as it comes fast enough.
-type paced struct {
+// pacedBody reads a body as long as it comes fast enough.
+type pacedBody struct {
 	c     *conn
 	from  io.Reader
 	began time.Time
 	got   int
 }
 
-func (p *paced) Read(b []byte) (int, error) {
+func (p *pacedBody) Read(b []byte) (int, error) {
 	if err := p.c.pace(p.began, p.got); err != nil {
 		return 0, err
 	}
@@ -46,7 +46,7 @@
 func (c *conn) pace(began time.Time, got int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pressed {
+	if c.cutShort {
 		return nil
 	}
 	least := c.began.Add(headTime)
@@ -61,7 +61,7 @@
 const aheadFor = 500 * time.Millisecond
 
 // soon tells whether the rest of a body should come within aheadFor.
-func (p *paced) soon(size int64) func(int64) bool {
+func (p *pacedBody) soon(size int64) func(int64) bool {
 	return func(got int64) bool {
 		took := time.Since(p.began)
 		return took > 0 && got > 0 && float64(size-got)*float64(took)/float64(got) <= float64(aheadFor)
@@ -76,7 +76,7 @@
 		return 0, ""
 	}
 	size := int64(ctx.Request.Header.ContentLength())
-	in := &paced{c: c, from: from, began: time.Now()}
+	in := &pacedBody{c: c, from: from, began: time.Now()}
 	var small []byte
 	var err error
 	if size <= body.Small {
@@ -93,7 +93,7 @@
 	return 0, ""
 }
 
-func (s *Server) receiveLarge(c *conn, in *paced, first []byte, size int64) error {
+func (s *Server) receiveLarge(c *conn, in *pacedBody, first []byte, size int64) error {
 	f, err := s.o.Bodies.Begin(max(-1, size))
 	if err != nil {
 		return err
@@ -126,7 +126,7 @@
 // slowOr is what a client is told whose request was not whole in time: that it was slow, or that the node ends. Then nothing
 // of it has run, and another node may have time for it.
 func slowOr(c *conn) (status int, code string) {
-	if c != nil && c.doomedFor(endDrained) {
+	if c != nil && c.closesFor(endDrained) {
 		return fasthttp.StatusServiceUnavailable, "draining"
 	}
 	return fasthttp.StatusRequestTimeout, "slow"
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -141,7 +141,7 @@
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
-	if c.doomedFor(endEvicted) {
+	if c.closesFor(endEvicted) {
 		s.evicting.Add(-1)
 	}
 	s.o.Count.Clients.Open.Add(-1)
@@ -209,7 +209,7 @@
 	c.mu.Unlock()
 	if ctx.Request.Header.ConnectionClose() {
 		c.Ends(exchange.EndAsked)
-	} else if reason := c.closing(); reason != "" {
+	} else if reason := c.closeReason(); reason != "" {
 		c.Ends(reason)
 		ctx.SetConnectionClose()
 	}
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -73,7 +73,7 @@
 	for i, b := range f.nodes {
 		b.now = from
 		b.step(ServerList{Form: ListFull, Entries: []ServerEntry{{ID: "cold", Zone: "z", Size: 1, Started: f.began}}})
-		b.l.feelers.left = -1e9 // the test is on the budget alone: what is sent without a fit passes it too
+		b.l.explorations.left = -1e9 // the test is on the budget alone: what is sent without a fit passes it too
 		for k := 0; b.now < from+span; k++ {
 			b.now += every * (0.5 + float64((i*7+k)%11)/10)
 			b.next++
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -73,7 +73,7 @@
 		b.now += b.l.set.DrainGrace / 10
 		id, acts := b.arrive("read", 2000)
 		s := sentTo(acts)
-		if i > 10 && b.l.unsure(b.l.servers[s]) {
+		if i > 10 && b.l.uncertain(b.l.servers[s]) {
 			t.Fatalf("sent to %s, which has taken nothing for half the grace", s)
 		}
 		b.now += 10
@@ -189,19 +189,19 @@
 		b.l.unit = 20
 		for i := range 100 { // half of them wait for what else is there
 			took := b.l.unit / speed * []float64{0.7, 1.3}[i%2]
-			a := attempt{server: met, sentAt: b.now, turns: 1}
+			a := attempt{server: met, sentAt: b.now, queueRounds: 1}
 			b.l.observe(met, &request{class: b.l.classes["read"], cost: 1}, &a, OK, took)
 		}
 		if got := b.l.speed(unseen); math.Abs(got-speed) > 0.15 {
 			t.Errorf("a cold server never met is taken to have %.2f of its capacity, another showed %v", got, speed)
 		}
-		if now := b.l.feelUnit(unseen); now < b.l.unit/(speed+0.15) {
+		if now := b.l.smoothUnit(unseen); now < b.l.unit/(speed+0.15) {
 			t.Errorf("a cold server never met is taken to need %.1f ms, a warm one needs %.1f", now, b.l.unit)
 		}
 		b.now += b.l.set.ColdFor
 		met.outcomeAt = b.now // not by fading
 		b.step(TimerFired{"sweep"})
-		if felt := b.l.feelUnit(met); felt > 1.6*b.l.unit || felt < b.l.unit/1.6 {
+		if felt := b.l.smoothUnit(met); felt > 1.6*b.l.unit || felt < b.l.unit/1.6 {
 			t.Errorf("warm by now it is taken to need %.1f ms, the fleet %.1f", felt, b.l.unit)
 		}
 	}
@@ -216,7 +216,7 @@
 	b.step(ServerList{Form: ListDelta, Entries: entries[1:]})
 	b.l.crowd = 3
 	warm, cold := b.l.servers["s0"], b.l.servers["s1"]
-	if w, c := b.l.countHands(warm), b.l.countHands(cold); c > 0.9*w || c <= 0 {
+	if w, c := b.l.estimatedLoad(warm), b.l.estimatedLoad(cold); c > 0.9*w || c <= 0 {
 		t.Errorf("%.2f requests at a cold server, %.2f at a warm one", c, w)
 	}
 	b.l.report(cold, Load{Valid: true, InFlight: 3 * b.l.speed(cold)})
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -342,7 +342,7 @@
 	r := &request{class: b.l.classes["bill"], cost: 1}
 	for i := 0; i < 6; i++ {
 		b.now += 2000
-		a := &attempt{server: s, sentAt: b.now - 2000, turns: 1, expected: 20}
+		a := &attempt{server: s, sentAt: b.now - 2000, queueRounds: 1, expected: 20}
 		b.l.observe(s, r, a, TimedOut, 2000)
 		b.serve("read", 20, allOK)
 	}
@@ -691,7 +691,7 @@
 		}
 	}
 	// 4 servers with 100 ms a request can do 400 in 10 s; chance may add a few.
-	if most := int(feelerShare*400) + 20; sent > most || sent < 20 {
+	if most := int(explorationShare*400) + 20; sent > most || sent < 20 {
 		t.Errorf("%d nodes sent %d feelers in 10 s, want 20 to %d", nodes, sent, most)
 	}
 }
@@ -825,7 +825,7 @@
 	set.Nodes = 400
 	b := newBed(t, set, server3(3)...)
 	b.l.unit = 1000 // nothing fits
-	b.l.feelers.left = 0
+	b.l.explorations.left = 0
 	_, acts := b.arrive("read", 2000)
 	for i := 0; i < 50 && count[Refuse](acts) == 0; i++ {
 		b.now += 10
@@ -918,7 +918,7 @@
 		set := settings()
 		set.Reports = true
 		b := newBed(t, set, server3(4)...)
-		b.l.crowd, b.l.outstanding = crowd, 1 // no feeler
+		b.l.crowd, b.l.outstanding = crowd, 1 // no exploration
 		for _, s := range b.l.list {
 			b.l.report(s, Load{Valid: true, InFlight: 0})
 		}
@@ -1061,7 +1061,7 @@
 	}
 	for _, s := range b.l.list {
 		for range tripFailures {
-			b.l.judge(s, Broken, b.now)
+			b.l.ejectOrKeep(s, Broken, b.now)
 		}
 	}
 	for _, s := range b.l.list {
@@ -1074,7 +1074,7 @@
 			s.note(b.now, true)
 		}
 	}
-	b.l.judge(b.l.list[0], Broken, b.now)
+	b.l.ejectOrKeep(b.l.list[0], Broken, b.now)
 	if !b.l.list[0].excluded {
 		t.Error("the only one that fails is kept")
 	}
@@ -1114,7 +1114,7 @@
 	row := func(s *server, n int) bool {
 		for range n {
 			s.note(b.now, false)
-			b.l.judge(s, Broken, b.now)
+			b.l.ejectOrKeep(s, Broken, b.now)
 		}
 		return s.excluded
 	}
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -20,7 +20,7 @@
 		b.step(ProbeEnd{Server: "s0", Result: OK, Load: Load{Valid: true, InFlight: 5, Queued: true, Waiting: 3}})
 	}
 	for ahead, want := range map[float64]float64{0: 1, 1: 1, 3: 2} {
-		if got := b.l.turns(ahead, 1); got != want {
+		if got := b.l.queueRounds(ahead, 1); got != want {
 			t.Errorf("with %v ahead at two at once: %v requests' times, want %v", ahead, got, want)
 		}
 	}
@@ -236,7 +236,7 @@
 		_, acts := b.arrive("read", 2000)
 		sent += count[Send](acts)
 	}
-	if sent != packed {
+	if sent != saturated {
 		t.Errorf("%d requests sent to a server that works on one at once", sent)
 	}
 	late := &request{class: b.l.classes["read"], cost: 1, expires: b.now + 1500, aimAt: b.now - 1, late: true}
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -1,5 +1,7 @@
 package logic
 
+// This file holds slow start: when a server's began, and what this node may send it meanwhile.
+
 // freshMost is the longest that a server has been up when a list that is followed without a gap
 // tells of its start.
 const freshMost Millis = 1000
@@ -20,3 +22,21 @@
 	}
 	return started
 }
+
+// coldRate is the cost per millisecond that this node may send a cold server: its part of the
+// budget, had every node sent as much; the others' windows are taken to be as long as ours.
+// Everything sent counts, refused work too. Where a node's part is under one request its phase rations.
+func (l *Logic) coldRate(s *server) float64 {
+	return coldMargin * l.set.FallMultiple * l.ramp(s) / l.typicalUnit(s) / l.parts()
+}
+
+// coldRoom refills a cold server's budget and tells whether cost fits. It guards from pushing over one that
+// has just started and stays down then: also where all nodes have saved their parts and spend them together.
+func (l *Logic) coldRoom(s *server, cost float64) bool {
+	if l.ramp(s) >= 1 {
+		return true
+	}
+	rate := l.coldRate(s)
+	saved := rate * coldBurst * l.set.FallFor
+	return rate > 0 && s.budget.ration(l.now, rate, saved) >= max(1, min(cost, saved))
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,7 +46,7 @@
 	hintMean       Millis
 	pool           []*server // scratch space of candidates
 	shared         bool
-	feelers        tokens  // requests sent where nothing fits
+	explorations   tokens  // requests sent where nothing fits
 	width          float64 // requests that a server works on at once, typically
 	probes         tokens  // probes that may be sent
 	ease           float64 // share of these that the servers bear
@@ -77,13 +77,13 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	server   *server
-	sentAt   Millis
-	turns    float64 // requests' times until it should be done, as expected when it was sent
-	expected Millis
-	open     bool
-	lost     bool   // not in the server's hands, by its latest report
-	missed   Millis // how long it had been out when a report did not hold it
+	server      *server
+	sentAt      Millis
+	queueRounds float64 // requests' times until it should be done, as expected when it was sent
+	expected    Millis
+	open        bool
+	lost        bool   // not in the server's hands, by its latest report
+	missed      Millis // how long it had been out when a report did not hold it
 }
 
 // request is one request in this node's hands.
@@ -440,8 +440,8 @@
 func (l *Logic) look(s *server) {
 	if s.lookedAt != l.now {
 		s.lookedAt = l.now
-		s.hands = l.countHands(s)
-		s.felt = l.feelUnit(s)
+		s.hands = l.estimatedLoad(s)
+		s.felt = l.smoothUnit(s)
 		s.bad = l.badShare(s)
 	}
 }
@@ -695,7 +695,7 @@
 
 // expected is the time a request sent now would take.
 func (l *Logic) expected(s *server, r *request) Millis {
-	return l.feltUnit(s) * l.turns(l.occupancy(s), r.cost)
+	return l.feltUnit(s) * l.queueRounds(l.occupancy(s), r.cost)
 }
 
 // noteZone books whether anything came back from a server's zone. A refusal or an error did.
@@ -747,7 +747,7 @@
 	}
 	silent := l.now - max(a.sentAt, s.outcomeAt)
 	if each {
-		silent /= a.turns
+		silent /= a.queueRounds
 	}
 	return silent
 }
--- a/logic/upload_test.go
+++ b/logic/upload_test.go
@@ -32,16 +32,16 @@
 			t.Fatalf("after %v ms: request %+v, overdue %v", now, r, l.overdue(s, false))
 		}
 	}
-	if s.answeredTo = 0; l.countHands(s) != 0 || s.others != 0 {
-		t.Errorf("taken to hold %v, %v of them others'", l.countHands(s), s.others)
+	if s.answeredTo = 0; l.estimatedLoad(s) != 0 || s.others != 0 {
+		t.Errorf("taken to hold %v, %v of them others'", l.estimatedLoad(s), s.others)
 	}
 	l.Step(6000, Uploaded{ID: 1, Expires: 6400})
 	r := l.requests[1]
 	if r.expires != 6400 || r.aimAt != 6100 || r.attempts[0].sentAt != 6000 {
 		t.Errorf("counted from its end: expires %v, aim %v, sent %v", r.expires, r.aimAt, r.attempts[0].sentAt)
 	}
-	if l.now = 6050; l.countHands(s) < 1 {
-		t.Errorf("taken to hold %v once it is whole", l.countHands(s))
+	if l.now = 6050; l.estimatedLoad(s) < 1 {
+		t.Errorf("taken to hold %v once it is whole", l.estimatedLoad(s))
 	}
 	if l.overdue(s, false) != 50 {
 		t.Errorf("silent for %v ms", l.overdue(s, false))
