--- a/cmd/tackhub/stop_test.go
+++ b/cmd/tackhub/stop_test.go
@@ -203,3 +203,18 @@
 		})
 	}
 }
+
+// TestAnswerBeforeHalfOfTheNext: a client sends the head and a part of the body of its next request behind the first. The first
+// one's answer does not wait for the rest.
+func TestAnswerBeforeHalfOfTheNext(t *testing.T) {
+	s := startServer(t, "s1", say(200, "done"))
+	p, _ := startWith(t, "", s)
+	c := p.connect()
+	c.write(request("look", 1000) + strings.TrimSuffix(request("bill", 1000), "12"))
+	if err := c.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if a, err := c.read(); err != nil || a.status != 200 {
+		t.Errorf("%v, %v: want the answer before the rest of the next request", a, err)
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -202,7 +202,7 @@
 		s.o.Desk.Serve(ctx, c)
 		c.answered(ctx.Response.StatusCode())
 	}
-	// Without a deadline of its own an answer would wait for the next request where a part of that has come.
+	// At this deadline fasthttp flushes each answer; else one would wait for the body of the next pipelined request.
 	_ = ctx.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.mu.Lock()
 	c.handled, c.busy = true, false
