Hold silent connections back again on a listener taken over from an ending process

A process that is ending stops TCP_DEFER_ACCEPT on the listener that it shares with the next; one that takes it over during the drain would have kept it so, and a crowd of silent clients would take its descriptors. Found by reading. The upgrade tests pass; no test forces this order.

--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -76,6 +76,7 @@
 	who := identity(c)
 	heir, err := fromOld(c.Listen, who)
 	if err == nil {
+		holdSilentBack(heir.Listener, log)
 		from := &legacy{}
 		raw, serr := heir.State()
 		if serr == nil {
@@ -104,6 +105,18 @@
 	return l, nil, nil, err
 }
 
+// holdSilentBack has the kernel hold silent connections back from a listener that was taken over: a process that is ending has
+// told it not to.
+func holdSilentBack(l *net.TCPListener, log *slog.Logger) {
+	raw, err := l.SyscallConn()
+	if err == nil {
+		err = ingress.DeferAccept("tcp", l.Addr().String(), raw)
+	}
+	if err != nil {
+		log.Warn("silent connections are not held back by the kernel", "code", "defer_accept", "error", err)
+	}
+}
+
 func fromOld(address string, who handover.Identity) (*handover.Heir, error) {
 	dir := os.Getenv("TMPDIR")
 	if dir == "" {
