--- a/cmd/tacklab/program.go
+++ b/cmd/tacklab/program.go
@@ -15,8 +15,9 @@
 // nodePackage is what is built where no program is at hand.
 const nodePackage = "tackhub.example/tackhub/cmd/tackhub"
 
-// command is how a scenario's nodes are started, and what build that is. What it built goes with clean.
-func command(s *scenario.Scenario, program string) (argv []string, build string, clean func(), err error) {
+// command is how a scenario's nodes are started, and what build that is. With build tags the program is built with them unless
+// one is named. What it built goes with clean.
+func command(s *scenario.Scenario, program, tags string) (argv []string, about string, clean func(), err error) {
 	clean = func() {}
 	if s.Nodes.Kind != "tackhub" {
 		self, err := os.Executable()
@@ -24,16 +25,21 @@
 			return nil, "", clean, err
 		}
 		argv = []string{self, "baseline", "--policy", s.Nodes.Kind}
-		build = "baseline " + s.Nodes.Kind
+		about = "baseline " + s.Nodes.Kind
 		if s.Nodes.Break != "" {
 			argv = append(argv, "--break", s.Nodes.Break)
-			build += " broken by " + s.Nodes.Break
+			about += " broken by " + s.Nodes.Break
 		}
-		return argv, build, clean, nil
+		return argv, about, clean, nil
 	}
 	if program == "" {
 		program = s.Nodes.Program
 	}
+	if program == "" && tags != "" {
+		if program, clean, err = build(tags); err != nil {
+			return nil, "", clean, err
+		}
+	}
 	if program == "" {
 		if program, clean, err = find(); err != nil {
 			return nil, "", clean, err
@@ -42,8 +48,8 @@
 	if program, err = filepath.Abs(program); err != nil {
 		return nil, "", clean, err
 	}
-	build, err = describe(program)
-	return []string{program}, build, clean, err
+	about, err = describe(program)
+	return []string{program}, about, clean, err
 }
 
 // find takes the tackhub that stands beside this program, or builds one.
@@ -54,15 +60,20 @@
 			return beside, func() {}, nil
 		}
 	}
+	return build("")
+}
+
+// build makes a tackhub with the given build tags.
+func build(tags string) (string, func(), error) {
 	dir, err := os.MkdirTemp("", "tacklab-build")
 	if err != nil {
 		return "", func() {}, err
 	}
 	clean := func() { _ = os.RemoveAll(dir) }
 	path := filepath.Join(dir, "tackhub")
-	if out, err := exec.Command("go", "build", "-o", path, nodePackage).CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-tags", tags, "-o", path, nodePackage).CombinedOutput(); err != nil {
 		clean()
-		return "", func() {}, fmt.Errorf("no tackhub stands beside tacklab, and it cannot be built: %w\n%s", err, out)
+		return "", func() {}, fmt.Errorf("tackhub cannot be built: %w\n%s", err, out)
 	}
 	return path, clean, nil
 }
--- a/cmd/tacklab/run.go
+++ b/cmd/tacklab/run.go
@@ -78,7 +78,7 @@
 
 // play runs a scenario with the program of an arm.
 func play(ctx context.Context, s *scenario.Scenario, a arm, progress func(experiment.Progress), started func([]string)) (*experiment.Result, error) {
-	argv, build, clean, err := command(s, a.Program)
+	argv, build, clean, err := command(s, a.Program, "")
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/tacklab/soak.go
+++ b/cmd/tacklab/soak.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"tackhub.example/tackhub/internal/faults"
 	"tackhub.example/tackhub/lab/scenario"
 	"tackhub.example/tackhub/lab/soak"
 )
@@ -24,6 +25,7 @@
 	Plan     string        `help:"Replay the plan in this file instead." type:"existingfile"`
 	Print    bool          `help:"Print the plans and play nothing."`
 	Shrink   bool          `help:"Make the first plan that breaks smaller, and print what is left."`
+	Faults   bool          `help:"Build the nodes so that accept and connect fail at times, with every error that Linux documents."`
 	Program  string        `help:"The tackhub to run. Without it: the one beside tacklab, or a fresh build." type:"path"`
 	Logs     string        `help:"Keep the nodes' configurations and logs in this folder." type:"path"`
 }
@@ -37,7 +39,7 @@
 	if c.Print {
 		return printPlans(plans)
 	}
-	argv, build, clean, err := command(plans[0], c.Program)
+	argv, build, clean, err := command(plans[0], c.Program, c.tags())
 	if err != nil {
 		return err
 	}
@@ -67,6 +69,16 @@
 	return nil
 }
 
+// faultTag is the build tag of nodes whose system calls fail at times.
+const faultTag = "faultinject"
+
+func (c *soakCmd) tags() string {
+	if c.Faults {
+		return faultTag
+	}
+	return ""
+}
+
 // plans are the runs to play, each read back from its printed form: what is printed is what is played.
 func (c *soakCmd) plans() ([]*scenario.Scenario, error) {
 	if c.Plan != "" {
@@ -110,7 +122,11 @@
 			return nil, err
 		}
 	}
-	return soak.Play(ctx, s, argv, nil, dir, build)
+	var env []string
+	if c.Faults {
+		env = append(env, fmt.Sprintf("%s=%d", faults.Variable, s.Seed))
+	}
+	return soak.Play(ctx, s, argv, env, dir, build)
 }
 
 // showBreaks prints the breaks of a run with their time lines.
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tackhub.example/tackhub/internal/faults"
 )
 
 // errCut says that discovery is no longer followed at this address.
@@ -16,7 +18,8 @@
 type Dial func(address string, timeout time.Duration) (net.Conn, error)
 
 func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, timeout)
+	dialer := net.Dialer{Timeout: timeout, Control: faults.Connect}
+	return dialer.Dial("tcp", address)
 }
 
 // source is one address of discovery with the connections to it. It is cut when discovery moves: a held call
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"tackhub.example/tackhub/internal/faults"
 	"tackhub.example/tackhub/internal/socket"
 )
 
@@ -113,7 +114,7 @@
 		if s.draining() {
 			_ = l.SetDeadline(time.Now().Add(s.quietFor())) // a broken listener shows in Accept
 		}
-		nc, err := l.AcceptTCP()
+		nc, err := acceptFrom(l)
 		if !socket.IsBroken(err) {
 			brokenSince = time.Time{}
 		}
@@ -138,6 +139,14 @@
 	return nil
 }
 
+// acceptFrom takes the next connection.
+func acceptFrom(l Listener) (*net.TCPConn, error) {
+	if err := faults.Accept(); err != nil {
+		return nil, err
+	}
+	return l.AcceptTCP()
+}
+
 // makeRoom makes room where accept fails for want of descriptors or memory. Other errors concern one connection or pass by
 // themselves, and no client has to go for them.
 func (s *Server) makeRoom(err error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/faults"
 	"tackhub.example/tackhub/internal/socket"
 	"tackhub.example/tackhub/logic"
 )
@@ -56,7 +57,7 @@
 
 // New makes a pool.
 func New(o Options) *Pool {
-	return &Pool{o: o, dialer: net.Dialer{Timeout: o.Connect, KeepAlive: -1},
+	return &Pool{o: o, dialer: net.Dialer{Timeout: o.Connect, KeepAlive: -1, Control: faults.Connect},
 		parts: 1, idle: map[logic.ServerID][]*conn{}, held: map[logic.ServerID]int{}}
 }
 
