--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -195,12 +195,15 @@
 	return false
 }
 
+// overlap is the length of what two spans share.
+func overlap(from1, to1, from2, to2 At) time.Duration { return max(0, min(to1, to2)-max(from1, from2)) }
+
 // paused is how long a node was held up between two moments.
 func (j *judge) paused(node int, from, to At) time.Duration {
 	sum := time.Duration(0)
 	for _, p := range j.r.Pauses {
 		if p.Node == node {
-			sum += max(0, min(p.To, to)-max(p.From, from))
+			sum += overlap(p.From, p.To, from, to)
 		}
 	}
 	return sum
@@ -211,7 +214,7 @@
 	sum := time.Duration(0)
 	for _, s := range j.r.Stalls {
 		if s.Server == server {
-			sum += max(0, min(s.To, to)-max(s.From, from))
+			sum += overlap(s.From, s.To, from, to)
 		}
 	}
 	return sum
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -172,11 +172,8 @@
 
 // straggle opens a connection early in a stop and asks on it late.
 func (c *Clients) straggle(rng *rand.Rand, node int, address string, opens, asks time.Time) {
-	if c.over(opens) {
-		return
-	}
-	conn, err := dial(address)
-	if err != nil {
+	conn := c.openAt(address, opens)
+	if conn == nil {
 		return
 	}
 	defer conn.close()
@@ -189,11 +186,8 @@
 
 // half sends a part of a request, and the rest later.
 func (c *Clients) half(rng *rand.Rand, node int, address string, opens, rest time.Time) {
-	if c.over(opens) {
-		return
-	}
-	conn, err := dial(address)
-	if err != nil {
+	conn := c.openAt(address, opens)
+	if conn == nil {
 		return
 	}
 	defer conn.close()
@@ -211,15 +205,24 @@
 
 // saysNothing holds a silent connection.
 func (c *Clients) saysNothing(address string, opens, until time.Time) {
-	if c.over(opens) {
+	conn := c.openAt(address, opens)
+	if conn == nil {
 		return
 	}
+	defer conn.close()
+	_ = c.over(until)
+}
+
+// openAt opens a connection at a time; nil where the run ended before, or nobody takes it.
+func (c *Clients) openAt(address string, opens time.Time) *connection {
+	if c.over(opens) {
+		return nil
+	}
 	conn, err := dial(address)
 	if err != nil {
-		return
+		return nil
 	}
-	defer conn.close()
-	_ = c.over(until)
+	return conn
 }
 
 // connection is one client's.
