Keep a node without quotas alive when a member opens a liveness stream

Callers of a node with [cluster] and no shares lost every request that it held: the process ended with a nil pointer as soon as another member had shares and opened a liveness stream to it, or anybody whom the link accepts sent the same bytes.

Cause: a link without quotas has a nil quotaAgent. Its watchProcess saw that and then counted the dropped stream through the nil agent's link.

Mend: watchProcess returns why a stream is not accepted and the link, which is never nil, counts it. processEnded allows for a nil agent as the other methods do. All methods that run with a nil receiver in the package were read; no other one uses a field.

--- a/cmd/tackhub/cluster_test.go
+++ b/cmd/tackhub/cluster_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,8 +32,8 @@
 	discovery string
 }
 
-// startTestCluster starts n members named m0, m1 and so on; the first two are the seeds.
-func startTestCluster(t *testing.T, n int) *testCluster {
+// startTestCluster starts n members named m0, m1 and so on; the first two are the seeds. Discovery lists the servers.
+func startTestCluster(t *testing.T, n int, servers ...*backend) *testCluster {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "th") // short: local sockets' paths are bounded
 	if err != nil {
@@ -47,7 +49,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(links.Close)
-	d := startDiscoveryServer(t, nil)
+	d := startDiscoveryServer(t, members(servers...))
 	b := &testCluster{t: t, dir: dir, links: links, listens: listens, discovery: d.addr}
 	b.setup = func(i int) nodeOptions {
 		edge := filepath.Join(dir, fmt.Sprintf("m%d.toml", i))
@@ -303,6 +305,71 @@
 	b.waitViews("it to be back", []int{0, 1}, "m0", "m1")
 }
 
+// enableQuotas turns the cluster of one member off and on again by SIGHUP, from then on with a quota that both members divide.
+func (b *testCluster) enableQuotas(i int) {
+	b.t.Helper()
+	edge := filepath.Join(b.dir, fmt.Sprintf("m%d.toml", i))
+	text, err := os.ReadFile(edge)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	writeFile(b.t, edge, "")
+	b.nodes[i].reload("edge")
+	writeFile(b.t, edge, fmt.Sprintf("%sshares = { m0 = %q, m1 = %q }\n", text, b.listens[0], b.listens[1]))
+	b.nodes[i].reload("edge")
+}
+
+// Quotas are rolled out to two members under load, one after the other. The first opens a liveness stream to the second, which has
+// no quota yet: no process may end of it, and no request may be lost.
+func TestQuotasRolledOutNodeByNode(t *testing.T) {
+	t.Parallel()
+	b := startTestCluster(t, 2, startBackend(t, "s1", respond(200, "done")))
+	b.waitViews("both to meet", []int{0, 1}, "m0", "m1")
+	stop := make(chan struct{})
+	var lost, answered atomic.Int64
+	var clients sync.WaitGroup
+	for _, node := range b.nodes {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if a, err := node.do(request("look", 1400)); err != nil || a.status != 200 {
+					t.Logf("%+v, %v", a, err)
+					lost.Add(1)
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	stopClients := sync.OnceFunc(func() {
+		close(stop)
+		clients.Wait()
+	})
+	t.Cleanup(stopClients)
+	b.enableQuotas(0)
+	eventually(t, "m1 to have dropped a liveness stream", func() bool {
+		c, err := b.nodes[1].dial()
+		if err != nil {
+			return false
+		}
+		defer func() { _ = c.Close() }()
+		got, ok := b.nodes[1].countsOn(c)
+		return ok && got.Cluster.Drops["lifeline"] > 0
+	})
+	b.enableQuotas(1)
+	eventually(t, "half of the quota at each", func() bool {
+		half := func(i int) bool { q := b.status(i).Quota; return q != nil && q.Fraction == 0.5 }
+		return half(0) && half(1)
+	})
+	stopClients()
+	if n := lost.Load(); n > 0 || answered.Load() == 0 {
+		t.Errorf("%d of %d requests lost", n, answered.Load())
+	}
+}
+
 // cut begins or ends a cut of the link from one node to another.
 func cut(links *netfault.Mesh, from, to int, on bool) {
 	links.SetFaults(from, to, func(f *netfault.PacketFaults) { f.Cut = on })
--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -11,23 +11,21 @@
 	"tackhub.example/tackhub/internal/membership"
 )
 
-const (
-
-	// readErrorPause keeps an error that persists, such as a lack of buffers, from taking a CPU.
-	readErrorPause = time.Millisecond
-)
+// readErrorPause keeps an error that persists, such as a lack of buffers, from taking a CPU.
+const readErrorPause = time.Millisecond
 
 // dropReason says why a message was not sent or not accepted. The values are keys of a counter.
 type dropReason string
 
 const (
+	notDropped         dropReason = ""
 	dropAccept         dropReason = "accept"  // a connection could not be accepted
 	dropAddress        dropReason = "address" // the receiver has no usable address
 	dropBroadcastsFull dropReason = "words_full"
 	dropInboxFull      dropReason = "inbox_full"
-	dropKind           dropReason = "kind" // of a later version
-	dropLiveness       dropReason = "lifeline"
-	dropLivenessFull   dropReason = "lifelines"
+	dropKind           dropReason = "kind"      // of a later version
+	dropLiveness       dropReason = "lifeline"  // from a member with which this one divides no quota
+	dropLivenessFull   dropReason = "lifelines" // too many of one member
 	dropMalformed      dropReason = "malformed"
 	dropMembersDiffer  dropReason = "shares_differ" // the sender divides the quota among other members
 	dropNetwork        dropReason = "network"       // the sender's address is not in an accepted network
--- a/internal/cluster/liveness.go
+++ b/internal/cluster/liveness.go
@@ -91,29 +91,31 @@
 	return hello, nil
 }
 
-// watchProcess waits for the end of a member's liveness stream. It runs on the stream's goroutine.
+// watchProcess waits for the end of a member's liveness stream. It runs on the stream's goroutine. The result says why the stream was
+// not accepted; it is notDropped where it was.
 //
 // Only an orderly end counts, which the member's kernel sends when the process has ended. A reset, a timeout or silence may come
 // from the network, while the process lives and uses its units; taken for its end they would let two members use the same units.
-func (q *quotaAgent) watchProcess(ctx context.Context, conn net.Conn, m *membership.Message) {
+//
+// A nil agent accepts no stream: while quotas are rolled out node by node, members that have one open streams to members without.
+func (q *quotaAgent) watchProcess(ctx context.Context, conn net.Conn, m *membership.Message) dropReason {
 	if q == nil || !slices.Contains(q.peers, m.From) || m.Address != q.link.options.QuotaMembers[m.From] {
-		q.link.drop(dropLiveness)
-		return
+		return dropLiveness
 	}
 	if !q.reserveLiveness(m.From) {
-		q.link.drop(dropLivenessFull)
-		return
+		return dropLivenessFull
 	}
 	_ = conn.SetDeadline(time.Time{})
 	_, err := conn.Read(make([]byte, 1))
 	q.releaseLiveness(m.From)
 	if !errors.Is(err, io.EOF) {
-		return
+		return notDropped
 	}
 	select {
 	case q.link.calls <- func() { q.processEnded(m.From, m.Generation) }:
 	case <-ctx.Done():
 	}
+	return notDropped
 }
 
 // reserveLiveness counts a member's stream, and reports whether there may be one more.
--- a/internal/cluster/quota.go
+++ b/internal/cluster/quota.go
@@ -135,10 +135,11 @@
 
 // processEnded handles a proof that a member's process has ended.
 func (q *quotaAgent) processEnded(name string, generation uint64) {
-	if q.allocator != nil {
-		q.allocator.ProcessEnded(name, generation)
-		q.flush()
+	if q == nil || q.allocator == nil {
+		return
 	}
+	q.allocator.ProcessEnded(name, generation)
+	q.flush()
 }
 
 // flush applies the allocation, and then sends the allocator's messages. The order matters: a grant may be sent only once the
--- a/internal/cluster/stream.go
+++ b/internal/cluster/stream.go
@@ -153,7 +153,9 @@
 		return
 	}
 	defer closeOnDone(ctx, conn)()
-	l.quota.watchProcess(ctx, conn, m)
+	if reason := l.quota.watchProcess(ctx, conn, m); reason != notDropped {
+		l.drop(reason)
+	}
 }
 
 // answerStream reads the message of a stream, and answers it if it is a SyncRequest. It returns nil if there is none.
