Report the context's error in the CoAP client, at once when it is cancelled

Callers of the CoAP client (tackhub coap, the lab) saw "no answer" where their own deadline had passed, and a call that was cancelled went on for seconds.

Cause: await gave the context's deadline to the socket and asked ctx.Err() after the read. Two timers fire in any order; where the socket's was first the read's end was taken for the server's silence, and all retransmissions went out within microseconds. A cancellation reached no timer.

Mend: the socket has the protocol's timeouts alone, and the context's end sets a deadline in the past, so whoever is woken by it finds the context done.

--- a/internal/coap/client/client_test.go
+++ b/internal/coap/client/client_test.go
@@ -179,6 +179,53 @@
 	}
 }
 
+// A context without a deadline is cancelled while the client waits for a response. The call ends at once, not when the timeout of
+// the acknowledgement does.
+func TestCancelEndsTheWait(t *testing.T) {
+	server := startServer(t, func(m message.Message) []message.Message { return []message.Message{ackOf(m, codes.Empty, "")} })
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	ended := make(chan error, 1)
+	client := startClient(t, server, Options{AckTimeout: time.Minute})
+	go func() {
+		_, err := client.Do(ctx, Request{Code: codes.GET, Path: "look"})
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, context.Canceled) {
+			t.Errorf("%v, want the context's error", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the call goes on though its context is cancelled")
+	}
+}
+
+// A call is cancelled at about the time of its answer. Its interruption must not reach into the next call on the same socket, which
+// would take it for silence and send its message again.
+func TestInterruptionEndsWithItsCall(t *testing.T) {
+	server := startServer(t, func(m message.Message) []message.Message { return []message.Message{ackOf(m, codes.Content, "done")} })
+	client := startClient(t, server, Options{AckTimeout: time.Minute})
+	const calls = 500
+	for range calls {
+		ctx, cancel := context.WithCancel(context.Background())
+		go cancel()
+		_, _ = client.Do(ctx, Request{Code: codes.GET, Path: "first"})
+		if got, err := client.Do(context.Background(), Request{Code: codes.GET, Path: "second"}); err != nil || string(got.Body) != "done" {
+			t.Fatalf("%+v, %v", got, err)
+		}
+	}
+	seconds := 0
+	for _, m := range server.requests() {
+		if path := wire.Strings(&m, message.URIPath); slices.Equal(path, []string{"second"}) {
+			seconds++
+		}
+	}
+	if seconds != calls {
+		t.Errorf("%d calls were sent %d times", calls, seconds)
+	}
+}
+
 func TestSplitQuery(t *testing.T) {
 	for raw, want := range map[string][]string{
 		"":                 nil,
--- a/internal/coap/client/exchange.go
+++ b/internal/coap/client/exchange.go
@@ -25,12 +25,31 @@
 // errReset says that the server rejected the message.
 var errReset = errors.New("reset")
 
+// interruptReads has the end of a context end a read that waits, and each one until stop is called. After stop the socket's deadline
+// is the reader's own again.
+//
+// The context's deadline is not given to the socket: the two timers fire in any order, so a read that ends by the socket's deadline may
+// find the context not done yet, and would take its end for the server's silence.
+func (c *Client) interruptReads(ctx context.Context) (stop func()) {
+	interrupted := make(chan struct{})
+	undo := context.AfterFunc(ctx, func() {
+		_ = c.conn.SetReadDeadline(time.Unix(0, 0))
+		close(interrupted)
+	})
+	return func() {
+		if !undo() {
+			<-interrupted
+		}
+	}
+}
+
 // exchange sends a message, again by the standard's timeouts until it is acknowledged, and waits for its response.
 func (c *Client) exchange(ctx context.Context, m message.Message) (*message.Message, error) {
 	datagram, err := wire.Encode(m)
 	if err != nil {
 		return nil, err
 	}
+	defer c.interruptReads(ctx)()
 	timeout := time.Duration(float64(c.options.AckTimeout) * (1 + rand.Float64()*ackJitter))
 	acknowledged := false
 	for retransmits := 0; ; retransmits++ {
@@ -63,14 +82,14 @@
 }
 
 // await reads until the response to a message comes, nil where the time is over before. It tells whether the message was
-// acknowledged meanwhile.
+// acknowledged meanwhile. The error is the context's where that ends first: interruptReads must be in force.
 func (c *Client) await(ctx context.Context, m *message.Message, until time.Time) (response *message.Message, acknowledged bool, err error) {
 	buffer := make([]byte, readBufferSize)
 	for {
-		if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
-			until = deadline
-		}
 		_ = c.conn.SetReadDeadline(until)
+		if ctx.Err() != nil { // the interruption may have come before this deadline, which would undo it
+			return nil, acknowledged, ctx.Err()
+		}
 		n, _, err := c.conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return nil, acknowledged, ctx.Err()
--- a/lab/netfault/netfault_test.go
+++ b/lab/netfault/netfault_test.go
@@ -194,3 +194,30 @@
 		t.Error("a datagram came that the seed loses")
 	}
 }
+
+// A deadline in the past is set while a read waits, which is how a caller that is cancelled ends it. The read must return, as one of a
+// socket does.
+func TestDeadlineEndsAReadThatWaits(t *testing.T) {
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	conn := NewLink(Impairment{}, Impairment{}, 1).WrapPacket(socket)
+	_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := conn.ReadFrom(make([]byte, 1))
+		ended <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.SetReadDeadline(time.Unix(0, 0))
+	select {
+	case err := <-ended:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%v, want the deadline's error", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the read goes on")
+	}
+}
--- a/lab/netfault/packet.go
+++ b/lab/netfault/packet.go
@@ -20,6 +20,7 @@
 	out      *Shaper
 	in       *Shaper
 	deadline time.Time
+	changed  chan struct{} // closed when the deadline changes
 	ready    chan datagram
 	once     sync.Once
 	ended    chan struct{}
@@ -34,7 +35,7 @@
 func (l *Link) WrapPacket(pc net.PacketConn) *PacketConn {
 	n := l.connCount.Add(1)
 	p := &PacketConn{PacketConn: pc, link: l, began: time.Now(), out: NewShaper(l.up, l.seed, 2*n),
-		in: NewShaper(l.down, l.seed, 2*n+1), ready: make(chan datagram, packetQueue), ended: make(chan struct{})}
+		in: NewShaper(l.down, l.seed, 2*n+1), changed: make(chan struct{}), ready: make(chan datagram, packetQueue), ended: make(chan struct{})}
 	go p.pull()
 	return p
 }
@@ -88,32 +89,40 @@
 	}
 }
 
-// SetReadDeadline sets the deadline of ReadFrom. The socket itself is read on: what arrives later is there for the next
-// call.
+// SetReadDeadline sets the deadline of ReadFrom, of a call that waits already as well. The socket itself is read on: what arrives
+// later is there for the next call.
 func (p *PacketConn) SetReadDeadline(t time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.deadline = t
+	close(p.changed)
+	p.changed = make(chan struct{})
 	return nil
 }
 
+// readDeadline returns the deadline of ReadFrom, and what is closed once there is another.
+func (p *PacketConn) readDeadline() (deadline time.Time, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.deadline, p.changed
+}
+
 // ReadFrom returns the next datagram that has arrived.
 func (p *PacketConn) ReadFrom(b []byte) (int, net.Addr, error) {
-	p.mu.Lock()
-	until := p.deadline
-	p.mu.Unlock()
-	var late <-chan time.Time
-	if !until.IsZero() {
-		t := time.NewTimer(time.Until(until))
-		defer t.Stop()
-		late = t.C
-	}
-	select {
-	case <-late:
-		return 0, nil, os.ErrDeadlineExceeded
-	case d := <-p.ready:
-		return copy(b, d.b), d.from, nil
-	case <-p.ended:
-		return 0, nil, io.EOF
+	for {
+		deadline, changed := p.readDeadline()
+		var late <-chan time.Time
+		if !deadline.IsZero() {
+			late = time.After(time.Until(deadline))
+		}
+		select {
+		case <-late:
+			return 0, nil, os.ErrDeadlineExceeded
+		case d := <-p.ready:
+			return copy(b, d.b), d.from, nil
+		case <-p.ended:
+			return 0, nil, io.EOF
+		case <-changed:
+		}
 	}
 }
