Count a load probe whose time ends before it is sent as timed out

What servers bore: a probe whose 50 ms ended while its connection came up could count as "unreachable" and toward the server's ejection, where a slow probe shows a queue.

Mend: hasEnded asks the context's deadline too, for the probe's outcome and for the reason of the connection's end; a write that ends by the deadline is given up like a read. Attempts are not concerned: their context has no deadline.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -37,7 +37,7 @@
 func dialReason(ctx context.Context, err error) closeReason {
 	var netErr net.Error
 	switch {
-	case ctx.Err() != nil:
+	case hasEnded(ctx):
 		return closeAborted
 	case socket.IsResourceExhausted(err):
 		return closeEvicted
@@ -49,6 +49,13 @@
 	return closeConnectRefused
 }
 
+// hasEnded reports whether a context is over. A dialer gives the context's deadline to the socket, whose timer may fire before the
+// context's own: then the context is not done yet though its deadline has passed.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // isLocal reports whether an attempt failed for a reason of this node's: its limits, its machine, or a server that has just
 // been removed. Nothing was sent, and the server is not at fault.
 func isLocal(err error) bool {
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -45,7 +45,7 @@
 	switch {
 	case isLocal(err):
 		return engine.Completion{Outcome: balancer.NotSent}
-	case err != nil && ctx.Err() != nil:
+	case err != nil && hasEnded(ctx):
 		return engine.Completion{Outcome: balancer.TimedOut}
 	case err != nil:
 		return engine.Completion{Outcome: balancer.Unreachable}
@@ -64,10 +64,11 @@
 	deadline, _ := ctx.Deadline()
 	_ = c.SetDeadline(deadline) // it fails only on a broken connection, where the write fails too
 	c.requests++
-	if _, err := c.Write(p.probeRequest(c.addr)); err != nil {
-		return closeWriteFailed, err
+	reason := closeWriteFailed
+	_, err := c.Write(p.probeRequest(c.addr))
+	if err == nil {
+		reason, err = readProbeResponse(c, resp)
 	}
-	reason, err := readProbeResponse(c, resp)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return closeAborted, err
 	}
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -2,12 +2,40 @@
 
 import (
 	"bufio"
+	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tackhub.example/tackhub/balancer"
+	"tackhub.example/tackhub/internal/engine"
 )
 
+// lateTimerContext is a context whose deadline has passed and whose timer has not fired yet.
+type lateTimerContext struct{ context.Context }
+
+func (lateTimerContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// A probe's time ends while its connection comes up, and the socket's timer fires before the context's; or before it is written on one
+// that is there. The probe timed out: it must not count as a server that cannot be reached, nor as the end of the dialer's own timeout.
+func TestProbeTimesOutBeforeItIsSent(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		addr, _ := acceptingListener(t)
+		p, count := testPool(fixedResolver{"s1": addr}, 1, 1)
+		if idle {
+			p.putUnused(mustAcquire(t, p, "s1"))
+		}
+		if got := p.probe(lateTimerContext{context.Background()}, "s1").Outcome; got != balancer.TimedOut {
+			t.Errorf("idle connection %v: %s, want timed_out", idle, engine.OutcomeName(got))
+		}
+		if n := count.ServerEnds.Get(string(closeAborted)); n != 1 {
+			t.Errorf("idle connection %v: %d connections counted as given up", idle, n)
+		}
+	}
+}
+
 func TestReadProbeResponse(t *testing.T) {
 	for _, c := range []struct {
 		name, raw string
