Say on SIGUSR1 why each server is or is not ejected; explain the listed upgrade test

What was seen: TestUpgradeTransfersState, red now and then on a busy machine: the failing server was not ejected within 10 s. Neither log nor counters could tell a lost failure, a shared cause and a server without requests apart, so SIGUSR1 writes a server_health line for each server now, and a test that fails has its nodes write them.

One slow answer makes it cost more than 1.25 times the other, so it gets no requests, and without requests it cannot fail. No caller suffers.

The listed test stays as it is and listed. Decisions are unchanged.

--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -19,6 +19,7 @@
 //	unittime.go        the time that a server takes for a request, and the pace of the whole fleet
 //	failurerate.go     failures of one class at a server, and of a zone
 //	outlier.go         ejection of servers that fail, and their readmission
+//	serverhealth.go    why a server is or is not ejected, for operators
 //	slowstart.go       the budget of a server that has just started
 //	loadestimate.go    how many requests a server holds, by its reports and by gossip
 //	missingattempts.go attempts that a server has lost, and their cancelling
--- a/cmd/tackhub/counters_test.go
+++ b/cmd/tackhub/counters_test.go
@@ -68,6 +68,22 @@
 	}
 }
 
+// A failing server is not ejected, and an operator asks why. The log must say it of each server, on SIGUSR1.
+func TestHealthOfServersOnRequest(t *testing.T) {
+	s1, s2 := startBackend(t, "s1", respond(200, "done")), startBackend(t, "s2", resetConn)
+	p, _ := startWithBackends(t, "", s1, s2)
+	eventually(t, "an ejection", func() bool {
+		p.mustDo(request("look", 1400))
+		return strings.Contains(p.log.String(), "ejected s2")
+	})
+	if err := p.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`"server":"s2","ejection":"ejected","failures_in_a_row":3`, `"server":"s1","ejection":"no failures"`} {
+		eventually(t, want, func() bool { return strings.Contains(p.log.String(), want) })
+	}
+}
+
 // The counters are logged on SIGUSR1 and at the end.
 func TestCountersOnRequestAndAtExit(t *testing.T) {
 	p := startNode(t, nodeOptions{discovery: freeAddress(t)})
--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -158,6 +158,9 @@
 		close(p.done)
 	}()
 	t.Cleanup(func() {
+		if t.Failed() {
+			p.reportHealth()
+		}
 		_ = p.cmd.Process.Kill()
 		<-p.done
 		if t.Failed() {
@@ -170,6 +173,21 @@
 	return p
 }
 
+// reportTimeout is how long a node of a failed test may take to say what it knows of its servers.
+const reportTimeout = time.Second
+
+// reportHealth has a node write its counters and what it knows of its servers to the log, for whoever traces a failed test.
+func (p *nodeProcess) reportHealth() {
+	if p.cmd.Process.Signal(syscall.SIGUSR1) != nil {
+		return
+	}
+	for end := time.Now().Add(reportTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if strings.Contains(p.log.String(), `"code":"server_health"`) {
+			return
+		}
+	}
+}
+
 // startWithBackends starts a discovery with some servers and a node that has polled it.
 func startWithBackends(t *testing.T, settings string, servers ...*backend) (*nodeProcess, *discoveryServer) {
 	t.Helper()
--- a/cmd/tackhub/main.go
+++ b/cmd/tackhub/main.go
@@ -48,7 +48,7 @@
 	}, Footer: []string{
 		"",
 		"Signals while it serves: SIGTERM or SIGINT drains and ends it (further ones change nothing), SIGHUP reads its files again,",
-		"SIGUSR1 writes the counters to the log.",
+		"SIGUSR1 writes the counters and the servers' health to the log.",
 		"Exit codes: 0 planned end or a good check, 1 failed or faults found, 2 the command line cannot be read.",
 	}}
 }
--- a/cmd/tackhub/upgrade_test.go
+++ b/cmd/tackhub/upgrade_test.go
@@ -154,6 +154,31 @@
 	}
 }
 
+// The same, with a server that fails from its first request on. It has no record of answers that could keep requests away from it, so the
+// ejection comes on a machine that stands still at times as well. Guards against an upgrade that forgets the list or an ejection.
+func TestUpgradeTransfersEjection(t *testing.T) {
+	s1, s2 := startBackend(t, "s1", respond(200, "done")), startBackend(t, "s2", resetConn)
+	u := newUpgradeTest(t, s1, s2)
+	eventually(t, "ejection", func() bool {
+		u.old.mustDo(request("look", 1400))
+		return queryAdminStats(t, u.admin).Ejected == 1
+	})
+	u.discovery.respondWith("noise")
+	next, admin := u.next()
+	eventually(t, "what was known", func() bool { f := queryAdminStats(t, admin); return f.Entries == 2 && f.Ejected == 1 })
+	u.old.terminate()
+	u.old.exit()
+	before := len(s2.requests())
+	for range 30 {
+		if a := next.mustDo(request("look", 1400)); a.status != 200 {
+			t.Errorf("status %d", a.status)
+		}
+	}
+	if n := len(s2.requests()) - before; n > 0 {
+		t.Errorf("%d requests to the ejected server", n)
+	}
+}
+
 // Two processes of one node serve during an upgrade. A request id in flight at one must be known to the other, and a
 // drain at one must hold for both, also after the old one has ended.
 func TestUpgradeSharesIDsAndDrains(t *testing.T) {
--- /dev/null
+++ b/internal/node/report.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"tackhub.example/tackhub/balancer"
+)
+
+// maxHealthLines bounds the lines on servers of one report: in a large fleet those that matter come first.
+const maxHealthLines = 32
+
+// reportOnSignal writes the counters and the servers' health to the log whenever a signal asks for them.
+func (n *node) reportOnSignal(ctx context.Context, report <-chan os.Signal, log *slog.Logger) {
+	for {
+		select {
+		case <-report:
+			n.logCounters(log)
+			n.logServerHealth(log)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *node) logCounters(log *slog.Logger) {
+	log.Info("counters", "code", "counters", "counters", rawJSON(n.counters.JSON()))
+}
+
+// logServerHealth writes a line for each server, with the reason why it is or is not ejected.
+func (n *node) logServerHealth(log *slog.Logger) {
+	var servers []balancer.ServerHealth
+	n.engine.RunBetweenSteps(func() { servers = n.shadow.ServerHealth(n.clock.Now(), maxHealthLines) })
+	for _, s := range servers {
+		log.Info("server health", "code", "server_health", "server", string(s.Server), "ejection", string(s.Status),
+			"failures_in_a_row", s.ConsecutiveFailures, "failures", s.Failures, "outcomes", s.Outcomes, "in_flight", s.InFlight,
+			"score", s.Score, "unit_time_ms", s.UnitTime, "outcome_age_ms", s.SinceOutcome)
+	}
+}
+
+// rawJSON is a text that goes into the log as the JSON it is.
+type rawJSON []byte
+
+// MarshalJSON returns the text as it is.
+func (r rawJSON) MarshalJSON() ([]byte, error) { return r, nil }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	go n.stopOnSignals(signals.stop, taken.listener, log)
-	go logCountersOnSignal(ctx, signals.report, log, count)
+	go n.reportOnSignal(ctx, signals.report, log)
 	go n.reloadOnSignal(ctx, signals.reload, running, operatorFile, log)
 	n.upgrade.serve(ctx, c.Listen, id, taken.listener)
 	n.serving.Store(true)
@@ -120,12 +120,6 @@
 
 func (n *node) logEnd(log *slog.Logger) {
 	n.logShutdown(log)
-	log.Info("counters", "code", "counters", "counters", rawJSON(n.counters.JSON()))
+	n.logCounters(log)
 	log.Info("ended", "code", "end")
 }
-
-// rawJSON is a text that goes into the log as the JSON it is.
-type rawJSON []byte
-
-// MarshalJSON gives the text itself.
-func (r rawJSON) MarshalJSON() ([]byte, error) { return r, nil }
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -1,19 +1,15 @@
 package node
 
 import (
-	"context"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
-
-	"tackhub.example/tackhub/internal/counters"
 )
 
 // signals are what a running node is told by signals.
 type signals struct {
 	stop   <-chan os.Signal // SIGTERM, SIGINT: planned stop
-	report <-chan os.Signal // SIGUSR1: counters into the log
+	report <-chan os.Signal // SIGUSR1: counters and servers' health into the log
 	reload <-chan os.Signal // SIGHUP: read the configuration again
 }
 
@@ -34,15 +30,3 @@
 	signal.Notify(c, which...)
 	return c
 }
-
-// logCountersOnSignal writes the counters to the log whenever a signal asks for them.
-func logCountersOnSignal(ctx context.Context, report <-chan os.Signal, log *slog.Logger, count *counters.Counters) {
-	for {
-		select {
-		case <-report:
-			log.Info("counters", "code", "counters", "counters", rawJSON(count.JSON()))
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/shadow/evaluator.go
+++ b/internal/shadow/evaluator.go
@@ -45,6 +45,11 @@
 // EndpointVersion is the balancer's.
 func (e *Evaluator) EndpointVersion() int { return e.balancer.EndpointVersion() }
 
+// ServerHealth is the balancer's.
+func (e *Evaluator) ServerHealth(now balancer.Millis, limit int) []balancer.ServerHealth {
+	return e.balancer.ServerHealth(now, limit)
+}
+
 // Snapshot is what the balancer knows.
 func (e *Evaluator) Snapshot() balancer.State { return e.balancer.Snapshot() }
 
