--- a/cmd/tacklab/main.go
+++ b/cmd/tacklab/main.go
@@ -32,6 +32,7 @@
 	Sweep    sweepCmd    `cmd:"" help:"Play one scenario for each value of a key."`
 	Soak     soakCmd     `cmd:"" help:"Play seeded runs of planned stops under faults and audit them; prints a time line of each break."`
 	Members  membersCmd  `cmd:"" help:"Measure failure detection among simulated members, on a virtual clock."`
+	KnownRed knownRedCmd `cmd:"" help:"Run CI's tests and runs; those that KNOWN-RED.txt lists may fail."`
 	List     listCmd     `cmd:"" help:"Name the scenarios of a folder."`
 	Schedule scheduleCmd `cmd:"" help:"Print what a scenario will do, and the hash of its schedule."`
 	Stands   standsCmd   `cmd:"" help:"Start stand-in servers and a discovery for a node that you start by hand."`
