Keep the typical unit time above zero, so that budgets stay numbers

What servers and callers bore: after answers that took exactly 0 ms a server in slow start got nothing for the whole of it, estimates of other nodes' load were NaN, and the ration of explorations could be lost for good.

Cause: the first answer replaces a server's unit time; 0 ms made the median of all 0, rates divided by it infinite, and an infinite rate over no time NaN, which no later refill mends.

Mend: the typical unit time is at least 1 microsecond wherever it is set, by answers or by a predecessor's state. All divisions of the package were read.

--- a/balancer/fuzz_test.go
+++ b/balancer/fuzz_test.go
@@ -197,6 +197,7 @@
 			k.check(now, l.Step(now, TimerFired{"sweep"}))
 			k.check(now, l.Step(now, TimerFired{"probes"}))
 		}
+		checkNumbers(t, l)
 		for id, e := range k.reqs {
 			if !e.finished && e.answers != 1 {
 				t.Fatalf("request %d has %d answers", id, e.answers)
--- a/balancer/statetransfer.go
+++ b/balancer/statetransfer.go
@@ -135,7 +135,7 @@
 
 // restore takes over what is known of servers that have not started anew since.
 func (b *Balancer) restore(state State) {
-	b.estimate.unitTime = state.UnitTime
+	b.setTypicalUnitTime(state.UnitTime)
 	b.estimate.pace = state.Pace
 	b.estimate.parallelism = state.Parallelism
 	b.estimate.reportLag = state.ReportLag
--- a/balancer/unittime.go
+++ b/balancer/unittime.go
@@ -52,7 +52,13 @@
 		return
 	}
 	sort.Float64s(unitTimes)
-	b.estimate.unitTime = unitTimes[len(unitTimes)/2]
+	b.setTypicalUnitTime(unitTimes[len(unitTimes)/2])
+}
+
+// setTypicalUnitTime sets the typical unit time, at least minLatency. Budgets and rates are divided by
+// it: after answers that took no time at all they would not be numbers, for good.
+func (b *Balancer) setTypicalUnitTime(unitTime Millis) {
+	b.estimate.unitTime = max(minLatency, unitTime)
 }
 
 // currentUnitTime is the time that a server is taken to need for each request that it holds.
