Keep the fleet's size in a copy of the balancer during an upgrade

What operators saw: while two processes were one node, the counters of watch held differences that the other settings would not have made, since they were asked in a fleet of half the size.

Cause: Clone set fleet.size to the settings' nodes and kept fleet.processes, of which the size has to be a multiple.

Mend: the size is nodes times processes.

--- a/balancer/characterization_test.go
+++ b/balancer/characterization_test.go
@@ -370,9 +370,7 @@
 // handOver continues with a new module that takes over what the old one knows, or with a copy of it.
 func (p *sequencePlayer) handOver() {
 	if p.flip() {
-		set := p.set
-		set.Nodes = p.balancer.fleet.size // counts the processes of this node, as the copy goes on doing
-		c, err := p.balancer.Clone(set)
+		c, err := p.balancer.Clone(p.set)
 		if err != nil {
 			p.t.Fatal(err)
 		}
--- a/balancer/clone.go
+++ b/balancer/clone.go
@@ -17,7 +17,7 @@
 	source := *b.randomSource
 	clone := *b
 	clone.settings = settings
-	clone.fleet.size = settings.Nodes
+	clone.fleet.size = settings.Nodes * b.fleet.processes // during an upgrade each node of the fleet counts as often as this one
 	clone.randomSource = &source
 	clone.rng = rand.New(&source)
 	clone.actions = nil
