Spend the retry budget only on retries of attempts that a server was asked for

What callers saw: a request whose attempt this node never sent (its own limit, or a connection that came up too late) was rejected while the retry budget was empty, and else spent a token that a request of a failed server needed.

Cause: retries after Unreachable and after the balancer's own cancelling are free, since no server works on the request; NotSent, of which the same is true, was not in the list. The design says nothing of budgets; the rule follows the reason that the code gave. Evidence: TestOnlyAttemptsThatReachedAServerSpendTheRetryBudget failed before for NotSent alone of the seven outcomes.

Mend: one function says which outcomes spend a token. The attempts of a request stay bounded by number and time.

--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -19,22 +19,27 @@
 }
 
 // retryOrGiveUp decides on a request whose attempts have all ended without an answer. A retry needs
-// an attempt left, time left, a request that may be repeated, and a token of the retry budget. After
-// Unreachable, or after this balancer itself cancelled a missing attempt, it costs no token: no
-// server works on the request. After Overloaded it does: the retry is load.
+// an attempt left, time left, a request that may be repeated, and a token of the retry budget where
+// the last outcome spends one.
 func (b *Balancer) retryOrGiveUp(r *request, last Outcome) {
 	if !b.mayRetry(r) {
 		b.rejectOrFail(r, AttemptsExhausted)
 		return
 	}
-	free := last == Cancelled || last == Unreachable
-	if !free && !b.retryBudget.take() {
+	if last.spendsRetryBudget() && !b.retryBudget.take() {
 		b.rejectOrFail(r, AttemptsExhausted)
 		return
 	}
 	b.enqueue(r)
 }
 
+// spendsRetryBudget reports whether a retry after this outcome costs a token. It does where a server
+// has worked on the attempt or was asked to, Overloaded included: the retry is load. Where no server
+// has it, or this balancer itself cancelled a missing attempt, a retry adds nothing to any server.
+func (o Outcome) spendsRetryBudget() bool {
+	return o != Unreachable && o != NotSent && o != Cancelled
+}
+
 // mayRetry reports whether a request may have another attempt, apart from the budget. Invariant: a
 // request that may have run is never repeated unless it is idempotent or has an idempotency key.
 func (b *Balancer) mayRetry(r *request) bool {
--- a/balancer/retry_test.go
+++ b/balancer/retry_test.go
@@ -45,3 +45,26 @@
 		t.Errorf("not rejected: %v", acts)
 	}
 }
+
+// Guards against rejecting a request for want of a retry budget though no server was ever asked: this node's own limits or a connection
+// that came up too late ended the attempt unsent.
+func TestOnlyAttemptsThatReachedAServerSpendTheRetryBudget(t *testing.T) {
+	for outcome, spends := range map[Outcome]bool{
+		Errored: true, Overloaded: true, TimedOut: true, ConnectionLost: true,
+		Unreachable: false, NotSent: false, Cancelled: false,
+	} {
+		for _, tokens := range []float64{0, 1} {
+			b := newTestNode(t, settings(), testEndpoints(3)...)
+			id, acts := b.arrive("read", 2000)
+			b.balancer.retryBudget.left = tokens
+			acts = b.end(id, 0, sentTo(acts), outcome, 1)
+			retried := sentTo(acts) != ""
+			if want := tokens > 0 || !spends; retried != want {
+				t.Errorf("outcome %d with %v tokens: retried %v, want %v", outcome, tokens, retried, want)
+			}
+			if left := b.balancer.retryBudget.left; spends && tokens > 0 && left != 0 || !spends && left != tokens {
+				t.Errorf("outcome %d: %v of %v tokens are left", outcome, left, tokens)
+			}
+		}
+	}
+}
