Pass discovery's complete list on where it changes nothing in the inventory

What the fleet bore: with [inventory] on, a balancer that had lost discovery and got back the list that it knew heard nothing of it, went on asking every few seconds and followed no changes in between.

Cause: only a list of changes counted as discovery's answer, not a complete one. Evidence: TestCompleteListWithoutChangesIsAnAnswer got no update within 10 s on the code before. Its first part failed too: the counter of published servers had 1 for a first list of 2, since it counted the changes of the event that completed the list.

Mend: either form of discovery's answer is passed on, as an update without entries where nothing has changed; entries are counted as published.

--- a/internal/endpoints/inventory.go
+++ b/internal/endpoints/inventory.go
@@ -190,26 +190,37 @@
 	return outcome.NextTick
 }
 
-// publish hands the first list to the balancer as a whole, once it is complete, and then the changes of each event.
+// publish hands the first list to the balancer as a whole, once it is complete, and then the changes of each event. A balancer that
+// requests discovery's list waits for an answer, also where the answer changes nothing.
 func (i *Inventory) publish(e sourceEvent, outcome endpointmerge.Outcome) {
-	// A balancer that requests discovery's list waits for an answer, also where a delta changes nothing. A complete list that
-	// changes nothing is not passed on.
-	_, discoveryAnswered := e.event.(endpointmerge.Delta)
+	entries := outcome.Changes
+	kind := balancer.DeltaUpdate
 	switch {
 	case !i.published && !i.firstListReady():
 		return
 	case !i.published:
 		i.published = true
-		i.node.Endpoints().publish(i.view.Published(), balancer.FullUpdate)
-	case len(outcome.Changes) > 0 || discoveryAnswered:
-		i.node.Endpoints().publish(outcome.Changes, balancer.DeltaUpdate)
-	default:
+		entries = i.view.Published()
+		kind = balancer.FullUpdate
+	case len(entries) == 0 && !isDiscoveryAnswer(e.event):
 		return
 	}
+	i.node.Endpoints().publish(entries, kind)
 	i.unsaved = i.unsaved || len(outcome.Changes) > 0
 	count := &i.node.Counters().Inventory
 	count.Pushes.Inc()
-	count.Entries.Add(int64(len(outcome.Changes))) // of the first list, the changes of the event that completed it
+	count.Entries.Add(int64(len(entries)))
+}
+
+// isDiscoveryAnswer reports whether an event is discovery's answer to a call: its complete list, or changes of it.
+func isDiscoveryAnswer(event endpointmerge.Event) bool {
+	switch e := event.(type) {
+	case endpointmerge.Snapshot:
+		return e.Source == sourceDiscovery
+	case endpointmerge.Delta:
+		return e.Source == sourceDiscovery
+	}
+	return false
 }
 
 // firstListReady reports whether there is a list to begin with, and no source has to be waited for.
--- a/internal/endpoints/inventory_test.go
+++ b/internal/endpoints/inventory_test.go
@@ -57,6 +57,36 @@
 	}
 }
 
+// A balancer that lost discovery requests the complete list and waits for an answer. Where that list changes nothing it must hear of it
+// all the same, or it goes on asking; and the servers of the first list count as published.
+func TestCompleteListWithoutChangesIsAnAnswer(t *testing.T) {
+	node := newFakeNode()
+	node.start(t, "[inventory]\n[[inventory.static]]\nid=\"s\"\naddress=\"127.0.0.1:9\"\n")
+	list := discovery.List{Revision: 1, Members: []discovery.Member{{ID: "d1", HostPort: "127.0.0.1:1", Phase: "SERVING"}}}
+	node.directory.HandleMembers(list, balancer.FullUpdate)
+	if u := node.nextUpdate(t); describe(u) != "d1 s" || u.Kind != balancer.FullUpdate {
+		t.Fatalf("first list: %+v", u)
+	}
+	eventuallyEqual(t, "servers published", node.count.Inventory.Entries.Get, 2)
+	node.directory.HandleMembers(list, balancer.FullUpdate)
+	if u := node.nextUpdate(t); len(u.Endpoints) != 0 || u.Kind != balancer.DeltaUpdate {
+		t.Errorf("a complete list without changes: %+v", u)
+	}
+	if _, ok := node.directory.Address("d1"); !ok {
+		t.Error("the list was lost")
+	}
+}
+
+// eventuallyEqual waits for a counter to have a value.
+func eventuallyEqual(t *testing.T, what string, get func() int64, want int64) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); get() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: %d, want %d", what, get(), want)
+		}
+	}
+}
+
 // A source that never reports does not hold up the others for ever, and a state folder that cannot be made is an error.
 func TestSilentSourceAndBadFolder(t *testing.T) {
 	node := newFakeNode()
