Record the first message of a restarted member for the process that sent it

What members bore: a member that restarted under a later generation stayed unheard until its second message, and where the earlier process had been unreachable the others got news of that one, and the later process a suspicion that was not its own.

Cause: senderOf replaced the entry and returned the old one, no longer in the table. Evidence: TestFirstMessageOfALaterProcessCounts failed before (received and seen at "never"; an update of generation 1 among what was sent).

Mend: replacePeer returns the new entry. The exchange of full states, which the old entry brought about by being unreachable, is asked for by itself; without that line the same test fails.

--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -108,6 +108,35 @@
 	}
 }
 
+// A later process of an unreachable member sends its first message. It has to count for that process: recorded at the entry that was
+// replaced, it leaves the process unheard, and the answer tells the process that it is suspected under the earlier one's generation.
+func TestFirstMessageOfALaterProcessCounts(t *testing.T) {
+	c := newCore("a1", 5)
+	c.Receive(0, from("b2", 1, SyncReply))
+	run(c, 0, 10*time.Second)
+	if s := c.peers.byName["b2"].state; s != Unreachable {
+		t.Fatalf("the earlier process is %v", s)
+	}
+	m := from("b2", 2, Ping)
+	m.Connectivity = uint8(InboundLost)
+	c.Receive(10*time.Second, m)
+	p := c.peers.byName["b2"]
+	if p.generation != 2 || p.lastReceived != 10*time.Second || p.lastSeen != 10*time.Second || p.connectivity != InboundLost {
+		t.Errorf("generation %d, received at %v, seen at %v, its connectivity %v", p.generation, p.lastReceived, p.lastSeen, p.connectivity)
+	}
+	out, _ := c.TakeOutput()
+	if !slices.ContainsFunc(out, func(o OutgoingMessage) bool { return o.Message.Kind == SyncRequest }) {
+		t.Error("no full state is exchanged with a member that was found again")
+	}
+	for _, o := range out {
+		for _, u := range o.Message.Updates {
+			if u.Name == "b2" && u.Generation != 2 {
+				t.Errorf("%v tells %+v of the earlier process", o.Message.Kind, u)
+			}
+		}
+	}
+}
+
 // A member refutes a suspicion by a higher incarnation. One that left stays out, whatever others still say of it, until its name
 // has a new process.
 func TestRefutationAndGoodbye(t *testing.T) {
--- a/internal/membership/peer.go
+++ b/internal/membership/peer.go
@@ -162,8 +162,8 @@
 	return p
 }
 
-// replacePeer records that a later process has a member's name.
-func (c *Core) replacePeer(old *peer, u Update) {
+// replacePeer records that a later process has a member's name, and returns its entry.
+func (c *Core) replacePeer(old *peer, u Update) *peer {
 	c.emit(EventReplaced, "another process has a member's name now", "member", old.name, "was", old.generation, "is", u.Generation,
 		"state", old.state.String())
 	c.peers.remove(old)
@@ -176,6 +176,7 @@
 	if old.state != Left {
 		p.previousGeneration = old.generation
 	}
+	return p
 }
 
 // makeRoom reports whether one more member can be added. In a full table the member that has been gone for longest is removed.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -60,9 +60,12 @@
 	case m.Generation < p.generation: // a process that has been replaced and does not know
 		c.sendTo(p.name, m.Address, Message{Kind: Gossip, Updates: []Update{p.aliveUpdate()}}, false)
 		return nil
-	case m.Generation > p.generation: // this message is recorded at the old entry, which is no longer in the table
-		c.replacePeer(p, sender)
-		return p
+	case m.Generation > p.generation:
+		next := c.replacePeer(p, sender)
+		if p.state == Unreachable { // each side has missed what the other learned
+			c.sendStream(next, Message{Kind: SyncRequest})
+		}
+		return next
 	case p.state == Left:
 		return nil
 	}
