Hold no limit of this node against a CoAP server

What servers bore: a load probe that met this node's own limit of exchanges with a coap:// server, or found no descriptor, counted as unreachable and toward the server's ejection; an attempt that found no buffer, local address or route did too.

Cause: ping took every error of acquire for the server's, and acquireOutcome knew two of this node's reasons. Evidence: TestProbeThatThisNodeCannotSend failed before: at the limit, and for ENFILE, ENOBUFS, EADDRNOTAVAIL and ENETUNREACH.

Mend: probes and attempts ask acquireOutcome, and that socket.IsLocalFailure, as HTTP's connections do. The package's tests pass.

--- a/internal/coap/back/attempt.go
+++ b/internal/coap/back/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"strings"
 	"sync"
-	"syscall"
 
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
@@ -13,6 +12,7 @@
 	"tackhub.example/tackhub/balancer"
 	"tackhub.example/tackhub/internal/coap/wire"
 	"tackhub.example/tackhub/internal/engine"
+	"tackhub.example/tackhub/internal/socket"
 )
 
 // outcomeUnsent is the counter's key of attempts that were never sent.
@@ -102,9 +102,10 @@
 	return completion
 }
 
-// acquireOutcome is the outcome of an attempt that got no socket. A limit of our own is not held against the server.
+// acquireOutcome is the outcome of an attempt or a probe that got no socket. A limit of this node or a failure of its machine is not
+// held against the server.
 func acquireOutcome(err error) balancer.Outcome {
-	if errors.Is(err, errTooManyExchanges) || errors.Is(err, syscall.EMFILE) {
+	if errors.Is(err, errTooManyExchanges) || socket.IsLocalFailure(err) {
 		return balancer.NotSent
 	}
 	return balancer.Unreachable
--- a/internal/coap/back/transport.go
+++ b/internal/coap/back/transport.go
@@ -90,7 +90,7 @@
 	}()
 }
 
-// ping is the outcome of a probe. A socket that cannot be had counts as a server that cannot be reached.
+// ping is the outcome of a probe.
 func (t *Transport) ping(server balancer.ServerID, within time.Duration) balancer.Outcome {
 	address, ok := t.options.Resolver.Address(server)
 	if !ok {
@@ -98,7 +98,7 @@
 	}
 	conn, err := t.acquire(strings.TrimPrefix(address, Scheme))
 	if err != nil {
-		return balancer.Unreachable
+		return acquireOutcome(err)
 	}
 	defer conn.release()
 	return conn.ping(within)
--- a/internal/coap/back/transport_test.go
+++ b/internal/coap/back/transport_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -353,6 +355,35 @@
 	}
 }
 
+// This node has as many exchanges with a server as it may, or its machine has no socket or route: that says nothing of the server, for a
+// probe as little as for an attempt, and must not count toward its ejection.
+func TestProbeThatThisNodeCannotSend(t *testing.T) {
+	server := startServer(t, nil)
+	address := server.conn.LocalAddr().String()
+	transport, _ := startTransport(Scheme + address)
+	for range 2 {
+		conn, err := transport.acquire(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.release()
+	}
+	ended := make(chan engine.Completion, 1)
+	transport.Probe("s1", 10*time.Second, func(e engine.Completion) { ended <- e })
+	if end := waitEnd(t, ended); end.Outcome != balancer.NotSent {
+		t.Errorf("at the limit: %s, want void", engine.OutcomeName(end.Outcome))
+	}
+	for errno, want := range map[syscall.Errno]balancer.Outcome{
+		syscall.EMFILE: balancer.NotSent, syscall.ENFILE: balancer.NotSent, syscall.ENOBUFS: balancer.NotSent, syscall.EADDRNOTAVAIL: balancer.NotSent,
+		syscall.ENETUNREACH: balancer.NotSent, syscall.EHOSTUNREACH: balancer.Unreachable, syscall.ECONNREFUSED: balancer.Unreachable,
+	} {
+		err := &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", errno)}
+		if got := acquireOutcome(err); got != want {
+			t.Errorf("%v: %s, want %s", errno, engine.OutcomeName(got), engine.OutcomeName(want))
+		}
+	}
+}
+
 func TestHandles(t *testing.T) {
 	for address, want := range map[string]bool{"coap://10.0.0.1:5683": true, "10.0.0.1:8080": false, "": false} {
 		transport, _ := startTransport(address)
