Leave the idle time of a connection alone where nothing was written on it

What callers bore: a request that took an idle connection and was not written after all (client gone, window of a repeat over) made it count as idle from then on. The server counts from its last response, so a later request could meet the connection's end; an unsafe one gets 502 for it.

Cause: the attempt used put, which is for connections that have had a response. Evidence: TestUnwrittenRequestLeavesTheIdleTimeAlone failed before: one of two connections idle for 30 and 20 s counted as idle since now, and the list's order was lost.

Mend: putUnused for connections without a response; one that is opened is idle since then; putUnused keeps the list in the order of idle times, by which connections are taken and evicted.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -74,7 +74,7 @@
 	}
 	if err := a.request.CheckWritable(); err != nil { // the connection came up too late, and can serve another request
 		a.detach()
-		a.pool.put(c) // it counts as idle from now, though its server counts from its last response
+		a.pool.putUnused(c)
 		a.report(notSent(err))
 		return
 	}
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -69,6 +69,39 @@
 	}
 }
 
+// TestUnwrittenRequestLeavesTheIdleTimeAlone: a request takes an idle connection and is not written on it. The server goes on counting from
+// its last response, and closes the connection by that: were it idle from now on for the pool, a later request would be lost on it.
+func TestUnwrittenRequestLeavesTheIdleTimeAlone(t *testing.T) {
+	addr, _ := acceptingListener(t)
+	p, _ := testPool(fixedResolver{"s1": addr}, 8, 8)
+	older, newer := mustAcquire(t, p, "s1"), mustAcquire(t, p, "s1")
+	since := map[*conn]time.Time{older: time.Now().Add(-30 * time.Second), newer: time.Now().Add(-20 * time.Second)}
+	for _, c := range []*conn{older, newer} {
+		p.put(c)
+		c.idleSince = since[c]
+	}
+	for range 3 {
+		ended := make(chan engine.Completion, 1)
+		p.Send("s1", engine.OutgoingRequest{Bytes: []byte("too late"), WriteDeadline: time.Now()}, func(e engine.Completion) { ended <- e })
+		if e := <-ended; e.Outcome != balancer.NotSent {
+			t.Fatalf("ended as %s", engine.OutcomeName(e.Outcome))
+		}
+	}
+	for c, want := range since {
+		if c.idleSince != want {
+			t.Errorf("a connection that was idle for %v is idle for %v", time.Since(want), time.Since(c.idleSince))
+		}
+	}
+	p.putUnused(p.takeIdle("s1"))
+	taken := []*conn{p.takeIdle("s1"), p.takeIdle("s1")}
+	for _, c := range taken { // the newer one comes back first
+		p.putUnused(c)
+	}
+	if list := p.idle["s1"]; len(list) != 2 || list[0] != older || list[1] != newer {
+		t.Error("the connection that is idle longest is not the first")
+	}
+}
+
 // TestUnwantedRequestIsNotWritten: a client disconnects while the connection comes up. Nothing is written, and the connection
 // serves another request.
 func TestUnwantedRequestIsNotWritten(t *testing.T) {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -24,12 +24,14 @@
 		return nil, err
 	}
 	p.options.Counters.Servers.Open.Inc()
+	opened := time.Now()
 	return &conn{
-		Conn:   nc,
-		reader: bufio.NewReaderSize(nc, readBufferSize),
-		server: id,
-		addr:   addr,
-		opened: time.Now(),
+		Conn:      nc,
+		reader:    bufio.NewReaderSize(nc, readBufferSize),
+		server:    id,
+		addr:      addr,
+		opened:    opened,
+		idleSince: opened,
 	}, nil
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -148,12 +148,18 @@
 	p.putUnused(c)
 }
 
-// putUnused returns a connection that has not been used since it was taken.
+// putUnused returns a connection that has not been used since it was taken or opened. It is as idle as before: the server counts from
+// its last response, or from the beginning.
 func (p *Pool) putUnused(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.server] = append(p.idle[c.server], c)
 	list := p.idle[c.server]
+	at := len(list)
+	for at > 0 && list[at-1].idleSince.After(c.idleSince) { // the one that is idle longest is the first
+		at--
+	}
+	list = slices.Insert(list, at, c)
+	p.idle[c.server] = list
 	if p.options.MaxIdlePerServer > 0 && len(list) > p.options.MaxIdlePerServer {
 		p.idle[c.server] = slices.Clone(list[1:])
 		go p.closeIdle(list[0], closeSpare, nil) // it takes the lock
