Number new pods in the order of their servers' ids

What operators saw: after several moves to new pods that ended in one step the pods' numbers differed between runs and between nodes.

Cause: the ends of moves were worked off in the order of a map, and each gives a new pod the next number.

Mend: ends in the order of ids.

--- a/internal/endpointmerge/move.go
+++ b/internal/endpointmerge/move.go
@@ -1,6 +1,9 @@
 package endpointmerge
 
-import "sort"
+import (
+	"maps"
+	"slices"
+)
 
 // group is where servers drop repetitions of a keyed request together.
 type dedupScope struct{ zone, pod string }
@@ -45,7 +48,8 @@
 // advanceMoves ends the moves whose time is over, renames pods, and starts the next moves in the queue.
 func (v *View) advanceMoves(out *Outcome) {
 	var queue []*member
-	for _, m := range v.relocating {
+	for _, id := range slices.Sorted(maps.Keys(v.relocating)) { // in order, since the ends of moves give new pods their numbers
+		m := v.relocating[id]
 		if m.move.started() && v.now >= m.move.ends {
 			v.moving--
 			v.endMove(m)
@@ -60,7 +64,6 @@
 	if len(queue) == 0 {
 		return
 	}
-	sort.Slice(queue, func(i, j int) bool { return queue[i].ID < queue[j].ID })
 	v.startMoves(v.renamePods(queue), out)
 }
 
--- a/internal/endpointmerge/move_test.go
+++ b/internal/endpointmerge/move_test.go
@@ -31,3 +31,25 @@
 	s.step(2600, Snapshot{Source: "file", Revision: "5", Servers: []inventory.Server{server("s1", "p1"), server("s2", "q1"), server("s3", "p2"), server("s4", "p2")}}, " s1~@2")
 	s.step(4600, Tick{}, " s1@3") // the old name came back: it is another pod than the one that is q1 now
 }
+
+// Several moves to pods that are new end in one step. The same events have to give the pods the same numbers at every node and in every
+// run: keyed requests stay within a number.
+func TestNewPodsAreNumberedInOrder(t *testing.T) {
+	set := testSettings()
+	set.Sources, set.MaxMovingShare = []string{"file"}, 1
+	const members = 8
+	for range 20 {
+		s := sequence{t, New(set)}
+		s.step(1, Snapshot{Source: "file", Revision: "1", Servers: servers("p", members)}, " s1@1 s2@1 s3@1 s4@1 s5@1 s6@1 s7@1 s8@1")
+		var apart []inventory.Server
+		for i, m := range servers("p", members) {
+			m.Pod = string(rune('a' + i))
+			apart = append(apart, m)
+		}
+		s.step(2, Snapshot{Source: "file", Revision: "2", Servers: apart}, " s1~@1 s2~@1 s3~@1 s4~@1 s5~@1 s6~@1 s7~@1 s8~@1")
+		s.step(2+set.PodHold, Tick{}, " s1@2 s2@3 s3@4 s4@5 s5@6 s6@7 s7@8 s8@9")
+		if t.Failed() {
+			return
+		}
+	}
+}
