Have the lab's draining servers reject new work

What a run could not show: a node's dealing with 503 and X-Not-Run from a draining server, as docs/lab.md and the protocol have it; the lab's fault drain listed the server as draining and let it serve on.

Cause: the model's SetDraining was called by its own test alone. Evidence: TestDrainingServerRejectsNewWork got 200 while draining on the code before.

Mend: the fault sets it.

--- a/lab/backend/faults.go
+++ b/lab/backend/faults.go
@@ -120,10 +120,13 @@
 	return nil
 }
 
-// drain lists the server as draining. It goes on to serve what still comes.
+// drain lists the server as draining. From then on it rejects what comes, and completes what it has.
 func (s *Server) drain() {
 	s.mu.Lock()
 	s.phase = phaseDraining
+	s.pod.mu.Lock()
+	s.model.SetDraining(true)
+	s.pod.mu.Unlock()
 	s.mu.Unlock()
 	s.fleet.announce(s)
 }
