Log each shared cause that prevents ejections, not only the first

What operators missed: "too few other servers are healthy" came once until the next readmission; where servers recovered without an ejection, a second shared cause left no line.

Cause: the flag that holds further lines back was taken down by a readmission alone. Evidence: TestEachSharedCauseIsLoggedOnce had one line after two shared causes on the code before.

Mend: the line comes again after ten seconds (the error window) without a prevented ejection, an ejection or a readmission.

--- a/balancer/outlier.go
+++ b/balancer/outlier.go
@@ -24,8 +24,8 @@
 
 // outlierDetector is what ejection needs to know beyond the single server.
 type outlierDetector struct {
-	sharedCauseLogged bool        // too few others were healthy, and the log says so; until the next readmission
-	trialIdempotency  Idempotency // only classes of this idempotency carry trials: the least harm available
+	sharedCauseUntil Millis      // until then further ejections that a shared cause prevents are not logged
+	trialIdempotency Idempotency // only classes of this idempotency carry trials: the least harm available
 }
 
 // ejectionState is whether one server is ejected.
@@ -69,6 +69,7 @@
 		b.logSharedCause()
 		return
 	}
+	b.outliers.sharedCauseUntil = 0
 	b.eject(s)
 }
 
@@ -114,17 +115,20 @@
 
 func (b *Balancer) readmit(s *server) {
 	s.outlier.ejected = false
-	b.outliers.sharedCauseLogged = false
+	b.outliers.sharedCauseUntil = 0
 	s.outcomes.reset()
 	b.setInitialScore(s)
 	b.servers.version++
 	b.logf("readmitted %s after its trial", s.ID)
 }
 
+// logSharedCause says that too few other servers are healthy: once for each time that this lasts. It is
+// over when a server is ejected or readmitted, or no ejection was prevented for the error window.
 func (b *Balancer) logSharedCause() {
-	if b.outliers.sharedCauseLogged {
+	logged := b.now < b.outliers.sharedCauseUntil
+	b.outliers.sharedCauseUntil = b.now + outcomeBucketCount*outcomeBucketLength
+	if logged {
 		return
 	}
-	b.outliers.sharedCauseLogged = true
 	b.logf("too few other servers are healthy: a shared cause or this node; ejecting no more")
 }
--- a/balancer/outlier_test.go
+++ b/balancer/outlier_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"strings"
 	"testing"
 )
 
@@ -290,3 +291,33 @@
 		t.Error("no trial in 40 keyed requests")
 	}
 }
+
+// Guards against a second shared cause, hours after the first, of which the log says nothing; and against a line for each failure of one.
+func TestEachSharedCauseIsLoggedOnce(t *testing.T) {
+	b := newTestNode(t, settings(), testEndpoints(3)...)
+	failAll := func() {
+		for range 60 {
+			b.serve("read", 5, func(ServerID) Outcome { return Errored })
+			b.now += 50
+		}
+	}
+	lines := func() int {
+		n := 0
+		for _, a := range b.actions {
+			if l, ok := a.(Log); ok && strings.Contains(l.Text, "too few other servers are healthy") {
+				n++
+			}
+		}
+		return n
+	}
+	for time := 1; time <= 3; time++ {
+		failAll()
+		if n := lines(); n != time {
+			t.Fatalf("%d lines after shared cause number %d", n, time)
+		}
+		for range 200 { // all recover; none was ejected, so none is readmitted
+			b.serve("read", 5, allOK)
+			b.now += 100
+		}
+	}
+}
