Print the header of tackhub overload right above the classes

What operators saw: the header of the table came before the line on failing attempts, so its columns stood over a sentence.

Change: the line goes first.

--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -95,8 +95,8 @@
 		b.WriteString("the servers can do what is asked for\n")
 	}
 	fmt.Fprintf(&b, "by the figures of %d members, %.0f%% of the view\n", s.Members, 100*s.Coverage)
-	fmt.Fprintf(&b, "%-20s %10s %10s %8s\n", "class", "asked /s", "done /s", "let in")
 	fmt.Fprintf(&b, "%.0f%% of all attempts fail; %.0f%% of the budget for further ones is free\n", 100*s.FailureRatio, 100*s.RetryBudget)
+	fmt.Fprintf(&b, "%-20s %10s %10s %8s\n", "class", "asked /s", "done /s", "let in")
 	for _, class := range slices.Sorted(maps.Keys(s.Requested)) {
 		fmt.Fprintf(&b, "%-20s %10.0f %10.0f %7.0f%%\n", class, s.Requested[class], s.Accepted[class], 100*s.Admit[class])
 	}
--- a/internal/cluster/table_test.go
+++ b/internal/cluster/table_test.go
@@ -2,7 +2,8 @@
 
 import "testing"
 
-// The tables are read by operators and their scripts; the files hold what a released version printed.
+// The tables are read by operators and their scripts; the files hold what a released version printed, but that the header of the classes
+// stands right above them now, where a line on failing attempts had come between.
 func TestTablesAreThoseOfReleasedVersions(t *testing.T) {
 	calm := *wireStatus.Overload
 	calm.Active = false
