--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -40,6 +40,7 @@
 //	gossip.go          what nodes send each other, and how it is used
 //	gossipmessage.go   the form of these messages
 //	statetransfer.go   the state that is handed over in an upgrade
+//	staterestore.go    taking such a state over
 //	clone.go           a copy that decides by other settings
 //	tokenbucket.go     allowances that refill with time or by events
 //
--- a/balancer/statetransfer.go
+++ b/balancer/statetransfer.go
@@ -1,5 +1,7 @@
 package balancer
 
+import "math"
+
 // What two processes that are one node during an upgrade hand over. The JSON names are the form
 // between versions: a process of an old version hands over to one of a new version, so they never
 // change.
@@ -133,75 +135,34 @@
 	return record
 }
 
-// restore takes over what is known of servers that have not started anew since.
-func (b *Balancer) restore(state State) {
-	b.setTypicalUnitTime(state.UnitTime)
-	b.estimate.pace = state.Pace
-	b.estimate.parallelism = state.Parallelism
-	b.estimate.reportLag = state.ReportLag
-	b.estimate.meanWorkHint = state.MeanWorkHint
-	b.estimate.othersLoad = state.OthersLoad
-	b.probing.roundTrip = state.ProbeRoundTrip
-	b.probing.acceptance = state.Acceptance
-	b.probing.tokens.left = state.ProbeTokens
-	b.retryBudget.left = state.RetryTokens
-	for name, record := range state.Classes {
-		if c := b.classes[name]; c != nil {
-			c.servedShare = servedShare{record.Asked, record.Served, record.At}
-			c.longestTimeout = record.LongestTimeout
+// Shift moves all times by a span: the clock of the process that takes the state over is ahead of the
+// other one's by so much. Start times are discovery's and stay.
+func (s *State) Shift(by Millis) {
+	buckets := int64(math.Round(by / outcomeBucketLength))
+	for i := range s.Servers {
+		record := &s.Servers[i]
+		record.OutcomeAt += by
+		record.FailedAt += by
+		record.TrialAt += by
+		record.BudgetAt += by
+		if record.ReportedAt != 0 { // 0: no report
+			record.ReportedAt += by
 		}
-	}
-	for name, record := range state.Tenants {
-		if t := b.tenants[name]; t != nil {
-			t.servedShare = servedShare{record.Asked, record.Served, record.At}
-			t.rate = record.Rate
-			t.rateAt = record.RateAt
-			t.quota = tokenBucket{record.Quota, record.QuotaAt}
+		for j := range record.Buckets {
+			record.Buckets[j] += buckets
 		}
-	}
-	for _, record := range state.Servers {
-		s := b.servers.byID[record.ID]
-		if s != nil && s.Started == record.Started {
-			b.restoreServer(s, record)
+		for name := range record.ClassFailureAt {
+			record.ClassFailureAt[name] += by
 		}
 	}
-	b.servers.version++
-}
-
-func (b *Balancer) restoreServer(s *server, record ServerRecord) {
-	s.score = record.Score
-	s.timing = serverTiming{
-		latency:   record.Latency,
-		unitTime:  record.UnitTime,
-		measured:  record.Measured,
-		outcomeAt: record.OutcomeAt,
-	}
-	s.outlier = ejectionState{
-		consecutiveFailures: record.ConsecutiveFailures,
-		ejected:             record.Ejected,
-		trialAt:             record.TrialAt,
-	}
-	s.load.others = record.OthersLoad
-	s.load.othersAverage = record.OthersAverage
-	s.load.reportedAt = record.ReportedAt
-	s.slowStart.budget = tokenBucket{record.Budget, record.BudgetAt}
-	s.estimate.at = estimateOutdated
-	s.outcomes.restore(record)
-	for name, share := range record.ClassFailures {
-		if c := b.classes[name]; c != nil {
-			*s.classFailure(c) = failureRate{share: share, observed: true, updatedAt: record.ClassFailureAt[name]}
-		}
-	}
-}
-
-func (w *outcomeWindow) restore(record ServerRecord) {
-	w.failedAt = record.FailedAt
-	for i := range min(len(record.Successes), len(record.Failures), len(record.Buckets), outcomeBucketCount) {
-		w.buckets[i] = outcomeBucket{record.Buckets[i], record.Successes[i], record.Failures[i]}
+	for name, record := range s.Classes {
+		record.At += by
+		s.Classes[name] = record
 	}
-	w.recentLen = 0
-	w.recentPos = 0
-	for _, success := range record.Recent[:min(len(record.Recent), recentOutcomeCount)] {
-		w.pushRecent(success)
+	for name, record := range s.Tenants {
+		record.At += by
+		record.RateAt += by
+		record.QuotaAt += by
+		s.Tenants[name] = record
 	}
 }
--- a/balancer/statetransfer_test.go
+++ b/balancer/statetransfer_test.go
@@ -80,3 +80,58 @@
 		t.Errorf("%d listed, %d avoided", listed, avoided)
 	}
 }
+
+// The wall clock of the machine is stepped by an hour between the starts of two processes of a node. The later one's clock is then an hour
+// off from that of the state that it takes over. No record may become NaN, which would have the node reject everything, lie in the future,
+// or last for an hour longer than it should; and where the predecessor told its clock, every wait goes on as it was.
+func TestStateOfAClockThatWasStepped(t *testing.T) {
+	const hour = 3600e3
+	for name, c := range map[string]struct {
+		step    Millis
+		shifted bool
+	}{
+		"back, clock not told": {-hour, false}, "forward, clock not told": {hour, false}, "back": {-hour, true}, "forward": {hour, true},
+	} {
+		set := settings()
+		set.LoadReports = true
+		old := newTestNode(t, set, testEndpoints(3)...)
+		old.now += 24 * hour // a clock is never below 0
+		failing(t, old, "s1", Errored)
+		for range 50 {
+			old.serve("read", 5, allOK)
+		}
+		state := old.balancer.Snapshot()
+		if c.shifted {
+			state.Shift(c.step)
+		}
+		next := &testNode{t: t, now: old.now + c.step}
+		var err error
+		if next.balancer, err = New(set, 9); err != nil {
+			t.Fatal(err)
+		}
+		next.step(EndpointUpdate{Kind: FullUpdate, Endpoints: testEndpoints(3)})
+		next.step(StateTransferred{state})
+		before, s := old.balancer.servers.byID["s1"], next.balancer.servers.byID["s1"]
+		wait := s.outlier.trialAt - next.now
+		if wait > ejectionTime || c.shifted && wait != before.outlier.trialAt-old.now {
+			t.Errorf("%s: the trial of an ejected server is due in %v ms", name, wait)
+		}
+		age := next.now - s.timing.outcomeAt
+		if age < 0 || c.shifted && age != old.now-before.timing.outcomeAt {
+			t.Errorf("%s: its last outcome is %v ms old", name, age)
+		}
+		if got, want := s.errorRate(next.now), before.errorRate(old.now); c.shifted && got != want {
+			t.Errorf("%s: its error rate is %v, was %v", name, got, want)
+		}
+		served := 0
+		for range 20 {
+			if next.serve("read", 5, allOK) != "" {
+				served++
+			}
+		}
+		checkNumbers(t, next.balancer)
+		if served != 20 {
+			t.Errorf("%s: %d of 20 requests are served", name, served)
+		}
+	}
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,7 +2,11 @@
 // discovery's list need no conversion, and a later step of the wall clock changes no deadline.
 package clock
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Clock is a node's time. It is safe for concurrent use.
 type Clock struct {
@@ -27,3 +31,13 @@
 
 // Span returns a number of milliseconds as a duration.
 func Span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// MonotonicZero returns the clock's time at which the machine's monotonic clock began. It tells how far two processes' clocks on one machine
+// are apart: the wall clock may have been stepped between their starts. The error is the system's.
+func (c Clock) MonotonicZero() (float64, error) {
+	var monotonic unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic); err != nil {
+		return 0, err
+	}
+	return c.Now() - Millis(time.Duration(monotonic.Nano())), nil
+}
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -20,3 +20,18 @@
 		t.Error("spans do not convert")
 	}
 }
+
+// Two processes whose wall clocks differ by an hour at their starts find out by how much from the monotonic clock that they share.
+func TestMonotonicZeroTellsClocksApart(t *testing.T) {
+	earlier := New()
+	later := New()
+	later.startUnix += 3600e3
+	a, err := earlier.MonotonicZero()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := later.MonotonicZero()
+	if err != nil || math.Abs(b-a-3600e3) > 50 {
+		t.Errorf("the clocks are told to be %v ms apart, %v", b-a, err)
+	}
+}
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"tackhub.example/tackhub/balancer"
+	"tackhub.example/tackhub/internal/clock"
 	"tackhub.example/tackhub/internal/config"
 	"tackhub.example/tackhub/internal/discovery"
 	"tackhub.example/tackhub/internal/handover"
@@ -30,6 +31,18 @@
 	List     discovery.List `json:"list"`
 	Balancer balancer.State `json:"module"`
 	Drained  bool           `json:"drained"` // by an administrator
+	// ClockZero is the node's time at which the machine's monotonic clock began. 0: an earlier version, or not known.
+	ClockZero float64 `json:"clock_zero_ms,omitempty"`
+}
+
+// adjustClock moves the times of the balancer's state to this process's clock, which is another one where the wall clock was stepped
+// between the two processes' starts.
+func (t *transferredNode) adjustClock(own clock.Clock) {
+	zero, err := own.MonotonicZero()
+	if t.ClockZero == 0 || err != nil {
+		return // the balancer takes no time of the future over
+	}
+	t.Balancer.Shift(zero - t.ClockZero)
 }
 
 // dropIncompatible leaves of what the predecessor knew what holds for this one as well. The list
@@ -85,6 +98,7 @@
 		return
 	}
 	if len(state.Balancer.Servers) > 0 {
+		state.adjustClock(u.node.clock)
 		u.node.transferredState.Store(&state.Balancer)
 	}
 	if state.Drained {
@@ -155,6 +169,9 @@
 // State is what the successor gets.
 func (u *upgrade) State() (json.RawMessage, error) {
 	state := transferredNode{List: u.node.discovery.List(), Drained: u.node.ingress.AdminDraining()}
+	if zero, err := u.node.clock.MonotonicZero(); err == nil {
+		state.ClockZero = zero
+	}
 	if !u.node.engine.RunBetweenSteps(func() { state.Balancer = u.node.shadow.Snapshot() }) {
 		return nil, errEngineEnded
 	}
