Log each applied and each failed list, and count revisions, reasons and servers

Each applied list leaves a line list_applied (revision, complete, call, servers by phase, what is left); list_failed comes at the first failure, then every 10 s, with reason, failures, for_ms and the revision kept. Counters: list.revision, revision_received, applied_unix_ms, serving, draining; list_rejected by reason; given_up.no_servers for requests refused because the list offers nobody; connections to servers log list_revision. What the node does is as before; the handler is now called under one lock by failures too, as its interface promises.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -52,6 +52,8 @@
 	AttemptsExhausted
 	// FleetOverload: the fleet is overloaded and sheds the request (admission.go).
 	FleetOverload
+	// NoServers: the endpoint list offers no server (queue.go).
+	NoServers
 )
 
 var rejectReasonNames = [...]string{
@@ -60,6 +62,7 @@
 	NoCapacity:        "no capacity",
 	AttemptsExhausted: "attempts exhausted",
 	FleetOverload:     "fleet overload",
+	NoServers:         "no servers",
 }
 
 // String returns the name of the reason.
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		if b.cannotMeetObjective(r, workAhead) {
-			b.rejectOrFail(r, NoCapacity)
+			b.rejectOrFail(r, b.noPlacementReason())
 			continue
 		}
 		if b.now > r.probesUntil+probeAgainAfter*b.estimate.unitTime {
@@ -120,6 +120,14 @@
 	return wait+best > limit
 }
 
+// noPlacementReason returns why a queued request can't be sent to any server in time.
+func (b *Balancer) noPlacementReason() RejectReason {
+	if len(b.servers.ready) == 0 {
+		return NoServers
+	}
+	return NoCapacity
+}
+
 // fastestFor returns the shortest time that a request would take at any eligible server, and the number
 // of eligible servers.
 func (b *Balancer) fastestFor(r *request) (best Millis, servers int) {
--- a/internal/clock/wall_test.go
+++ b/internal/clock/wall_test.go
@@ -12,7 +12,7 @@
 // of the wall clock by an hour affects there. docs/operating/stops.md has the same list.
 var wallClockReads = map[string]int{
 	"internal/clock/clock.go":         1, // start of the node's clock: read once, then advanced by the monotonic clock
-	"internal/discovery/staleness.go": 1, // a counter for operators
+	"internal/discovery/applylist.go": 2, // counters for operators
 	"internal/cluster/link.go":        1, // generation of a process, read once; the core corrects one that is lower than its predecessor's
 	"internal/cluster/quota.go":       2, // times shown on the local socket
 }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -120,6 +120,12 @@
 	Failed       Count `json:"failed"`           // calls that failed or had an invalid response
 	Stale        Count `json:"late"`             // reports that the list is stale: no response within the time in which a change must arrive
 	LastResponse Count `json:"informed_unix_ms"` // time of the last response, in Unix milliseconds; 0 before the first one
+
+	AppliedRevision  Count `json:"revision"`          // of the list in use
+	ReceivedRevision Count `json:"revision_received"` // of the last list received, whether it was applied or not
+	Applied          Count `json:"applied_unix_ms"`   // time of the last list with news, in Unix milliseconds; 0 before the first one
+	Serving          Count `json:"serving"`           // servers in discovery's list that get new requests
+	Draining         Count `json:"draining"`          // servers in discovery's list that get no new requests
 }
 
 // Inventory counts the work of the inventory subsystem. All are 0 if it is off.
@@ -222,6 +228,7 @@
 	Servers       ServerConnections `json:"server_connections"`
 	ServerEnds    ByCode            `json:"server_connection_ends"` // closed connections by reason
 	ServerList    ServerList        `json:"list"`
+	ListRejected  ByCode            `json:"list_rejected"` // discovery calls without an applied list, by reason
 	Inventory     Inventory         `json:"inventory"`
 	Gossip        Gossip            `json:"peers"`
 	Cluster       Cluster           `json:"cluster"`
--- /dev/null
+++ b/internal/discovery/applylist.go
@@ -0,0 +1,115 @@
+package discovery
+
+import (
+	"time"
+
+	"tackhub.example/tackhub/balancer"
+)
+
+// callKind is how a list was requested, as named in the log.
+type callKind string
+
+const (
+	callPoll       callKind = "poll"  // the complete list was requested
+	callWatch      callKind = "watch" // changes since a revision were requested
+	callHedgedPoll callKind = "hedged_poll"
+)
+
+// apply makes a received list the current one and publishes it. A delta without members is published only if the handler must be
+// notified that discovery responded: for the first response, or after the list was reported stale.
+func (c *Client) apply(list List, call callKind) {
+	c.updateMembers(list) // before publishing, since the handler may need the address of a new server at once
+	s := &c.staleness
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wasStale := s.responded()
+	c.countList(list, s.lastResponse)
+	if list.Complete || len(list.Members) > 0 {
+		c.logList(list, call)
+	}
+	c.failures = failureStreak{}
+	switch {
+	case list.Complete:
+		c.count.ServerList.Full.Inc()
+		c.publish(list, balancer.FullUpdate)
+	case len(list.Members) > 0 || call != callWatch || wasStale:
+		c.count.ServerList.Delta.Inc()
+		c.publish(list, balancer.DeltaUpdate)
+	}
+}
+
+// updateMembers applies a list to c.members. A server's address may change when the server restarts.
+func (c *Client) updateMembers(list List) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision = list.Revision
+	if list.Complete {
+		clear(c.members)
+	}
+	for _, m := range list.Members {
+		id := balancer.ServerID(m.ID)
+		if m.Phase == PhaseDeleted {
+			delete(c.members, id)
+		} else {
+			c.members[id] = m
+		}
+	}
+}
+
+// publish passes a list to the handler, as members if the handler is a MemberHandler and as endpoints otherwise.
+func (c *Client) publish(list List, kind balancer.UpdateKind) {
+	if h, ok := c.handler.(MemberHandler); ok {
+		h.HandleMembers(list, kind)
+		return
+	}
+	c.handler.UpdateEndpoints(balancer.EndpointUpdate{Kind: kind, Endpoints: list.Endpoints()})
+}
+
+// phaseCounts are the numbers of members of a list by phase.
+type phaseCounts struct {
+	serving  int
+	draining int // draining or in an unknown phase
+	deleted  int
+}
+
+func countPhases(members []Member) phaseCounts {
+	var counts phaseCounts
+	for _, m := range members {
+		switch m.Phase {
+		case PhaseServing:
+			counts.serving++
+		case PhaseDeleted:
+			counts.deleted++
+		default:
+			counts.draining++
+		}
+	}
+	return counts
+}
+
+// countList updates the counters after a list was applied.
+func (c *Client) countList(list List, receivedAt time.Time) {
+	count := &c.count.ServerList
+	count.LastResponse.Set(receivedAt.UnixMilli())
+	count.ReceivedRevision.Set(list.Revision)
+	count.AppliedRevision.Set(list.Revision)
+	if !list.Complete && len(list.Members) == 0 {
+		return
+	}
+	count.Applied.Set(receivedAt.UnixMilli())
+	current := countPhases(c.List().Members)
+	count.Serving.Set(int64(current.serving))
+	count.Draining.Set(int64(current.draining))
+}
+
+// logList logs a list that was applied: what it says, how it was requested, and what remains.
+func (c *Client) logList(list List, call callKind) {
+	named := countPhases(list.Members)
+	attrs := []any{"code", "list_applied", "revision", list.Revision, "complete", list.Complete, "call", string(call),
+		"serving", named.serving, "draining", named.draining, "deleted", named.deleted,
+		"left", c.count.ServerList.Serving.Get()}
+	if c.failures.calls > 0 {
+		attrs = append(attrs, "after_failures", c.failures.calls)
+	}
+	c.log.Info("endpoint list applied", attrs...)
+}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -19,6 +19,20 @@
 
 func (e rejectedError) Error() string { return fmt.Sprintf("rejected, retry after %v", e.retryAfter) }
 
+// statusError reports a response with a status other than 200, 429 and 503.
+type statusError struct{ status int }
+
+func (e statusError) Error() string { return fmt.Sprintf("unexpected status %d", e.status) }
+
+// invalidListError reports a response that is not applied because of its body.
+type invalidListError struct {
+	reason failureReason
+	err    error
+}
+
+func (e invalidListError) Error() string { return e.err.Error() }
+func (e invalidListError) Unwrap() error { return e.err }
+
 // timedOut reports whether a call failed because no response arrived, or no connection was established, in time.
 func timedOut(err error) bool {
 	var timeout interface{ Timeout() bool } // fasthttp's timeout error does not implement net.Error
@@ -48,7 +62,7 @@
 	}
 	if list.Complete && len(list.Members) == 0 && c.Size() > 0 {
 		// An empty complete list is treated as a fault of discovery: applying it would leave this node without servers.
-		return List{}, fmt.Errorf("%s: complete list without members", membersPath)
+		return List{}, fmt.Errorf("%s: %w", membersPath, invalidListError{failureNoList, errors.New("complete list without members")})
 	}
 	return list, nil
 }
@@ -57,11 +71,15 @@
 func parseResponse(resp *fasthttp.Response) (List, error) {
 	switch status := resp.StatusCode(); status {
 	case fasthttp.StatusOK:
-		return ParseList(resp.Body())
+		list, err := ParseList(resp.Body())
+		if err != nil {
+			return List{}, invalidListError{failureNoList, err}
+		}
+		return list, nil
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		return List{}, fmt.Errorf("status %d: %w", status, rejectedError{parseRetryAfter(&resp.Header)})
 	default:
-		return List{}, fmt.Errorf("unexpected status %d", status)
+		return List{}, statusError{status}
 	}
 }
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -56,6 +56,7 @@
 	running        atomic.Bool
 
 	staleness staleness
+	failures  failureStreak // guarded by staleness.mu
 
 	mu        sync.RWMutex
 	members   map[balancer.ServerID]Member
@@ -98,6 +99,13 @@
 	return m.HostPort, true
 }
 
+// Revision returns the revision of the current list.
+func (c *Client) Revision() int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.revision
+}
+
 // Size returns the number of servers in the list.
 func (c *Client) Size() int {
 	c.mu.RLock()
@@ -153,30 +161,3 @@
 	defer c.mu.RUnlock()
 	return c.transport
 }
-
-// updateMembers applies a list to c.members. A server's address may change when the server restarts.
-func (c *Client) updateMembers(list List) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.revision = list.Revision
-	if list.Complete {
-		clear(c.members)
-	}
-	for _, m := range list.Members {
-		id := balancer.ServerID(m.ID)
-		if m.Phase == PhaseDeleted {
-			delete(c.members, id)
-		} else {
-			c.members[id] = m
-		}
-	}
-}
-
-// publish passes a list to the handler, as members if the handler is a MemberHandler and as endpoints otherwise.
-func (c *Client) publish(list List, kind balancer.UpdateKind) {
-	if h, ok := c.handler.(MemberHandler); ok {
-		h.HandleMembers(list, kind)
-		return
-	}
-	c.handler.UpdateEndpoints(balancer.EndpointUpdate{Kind: kind, Endpoints: list.Endpoints()})
-}
--- /dev/null
+++ b/internal/discovery/failurelog.go
@@ -0,0 +1,78 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tackhub.example/tackhub/balancer"
+)
+
+// failureLogInterval is the shortest time between two log lines about consecutive failed calls.
+const failureLogInterval = 10 * time.Second
+
+// failureReason is why a call to discovery failed. It is the key of counters.Counters.ListRejected and an attribute of the log line;
+// docs/oncall.md lists the values.
+type failureReason string
+
+const (
+	failureNoResponse failureReason = "no_response" // no complete response in time, or no connection
+	failureConnection failureReason = "connection"  // the connection was refused or reset
+	failureNoCapacity failureReason = "no_capacity" // status 429 or 503
+	failureStatus     failureReason = "status"      // any other status but 200
+	failureNoList     failureReason = "no_list"     // the body is no endpoint list
+)
+
+// reasonOf returns the reason of a failed call.
+func reasonOf(err error) failureReason {
+	var invalid invalidListError
+	switch {
+	case errors.As(err, new(rejectedError)):
+		return failureNoCapacity
+	case errors.As(err, new(statusError)):
+		return failureStatus
+	case errors.As(err, &invalid):
+		return invalid.reason
+	case timedOut(err), errors.Is(err, context.Canceled), errors.Is(err, fasthttp.ErrNoFreeConns):
+		return failureNoResponse
+	}
+	return failureConnection
+}
+
+// failureStreak describes the consecutive failed calls since the last accepted list. The zero value is a streak without failures.
+type failureStreak struct {
+	calls    int
+	began    time.Time
+	loggedAt time.Time
+}
+
+// add counts a failed call and reports whether it is to be logged.
+func (f *failureStreak) add(now time.Time) (log bool) {
+	if f.calls == 0 {
+		f.began = now
+	}
+	f.calls++
+	if f.calls > 1 && now.Sub(f.loggedAt) < failureLogInterval {
+		return false
+	}
+	f.loggedAt = now
+	return true
+}
+
+// reportFailure counts a failed call, logs it at a bounded rate, and notifies the handler.
+func (c *Client) reportFailure(err error) {
+	reason := reasonOf(err)
+	c.count.ServerList.Failed.Inc()
+	c.count.ListRejected.Inc(string(reason))
+	s := &c.staleness
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if c.failures.add(now) {
+		c.log.Warn("discovery call failed; keeping the last list", "code", "list_failed", "error", err, "reason", string(reason),
+			"failures", c.failures.calls, "for_ms", now.Sub(c.failures.began).Milliseconds(), "revision", c.Revision())
+	}
+	c.handler.UpdateEndpoints(balancer.EndpointUpdate{Kind: balancer.UpdateFailed})
+}
--- a/internal/discovery/hedge.go
+++ b/internal/discovery/hedge.go
@@ -53,7 +53,7 @@
 			if final {
 				return r.list, r.err
 			}
-			c.reportFailure(r.err, false)
+			c.reportFailure(r.err)
 		}
 	}
 }
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -68,17 +68,17 @@
 func (p *poller) follow(ctx context.Context, t *transport) error {
 	c := p.client
 	for ctx.Err() == nil {
-		list, err := p.poll(ctx, t)
+		list, call, err := p.poll(ctx, t)
 		if t != c.currentTransport() || ctx.Err() != nil {
 			return nil
 		}
 		p.lastCallTimedOut = timedOut(err)
 		if err != nil {
 			p.resetRevision(err)
-			c.reportFailure(err, p.backoff == initialBackoff)
+			c.reportFailure(err)
 			return err
 		}
-		c.handleResponse(list, p.revision)
+		c.apply(list, call)
 		p.revision = list.Revision
 		p.backoff = initialBackoff
 	}
@@ -93,25 +93,31 @@
 	}
 }
 
-// poll makes one call, or hedged calls if the last call timed out.
-func (p *poller) poll(ctx context.Context, t *transport) (List, error) {
+// poll makes one call, or hedged calls if the last call timed out. It returns how the list was requested.
+func (p *poller) poll(ctx context.Context, t *transport) (List, callKind, error) {
 	c := p.client
 	if p.revision < 0 && p.lastCallTimedOut && !c.watchOnRequest {
-		return c.hedgedPoll(ctx, t)
+		list, err := c.hedgedPoll(ctx, t)
+		return list, callHedgedPoll, err
+	}
+	kind := callPoll
+	if p.revision >= 0 {
+		kind = callWatch
 	}
 	list, err := c.call(t, p.revision, c.intervals.callTimeout)
-	watchLost := p.revision >= 0 && timedOut(err)
+	watchLost := kind == callWatch && timedOut(err)
 	if !c.watchOnRequest || !watchLost {
-		return list, err
+		return list, kind, err
 	}
 	// After a watch has timed out, a change may have been pending since the watch began. The complete list is therefore requested
 	// without the balancer's backoff for failed calls, only spread over rewatchSpread.
 	p.revision = noRevision
 	c.sleep(ctx, rand.N(c.intervals.rewatchSpread+1))
 	if t != c.currentTransport() {
-		return list, err
+		return list, kind, err
 	}
-	return c.call(t, p.revision, c.intervals.callTimeout)
+	list, err = c.call(t, p.revision, c.intervals.callTimeout)
+	return list, callPoll, err
 }
 
 // waitBeforeRetry waits for the retry delay after a failed call, and increases the backoff for the next failure.
@@ -127,16 +133,6 @@
 	p.backoff = max(2*p.backoff, c.intervals.fleetCallPeriod/4)
 }
 
-// reportFailure notifies the handler of a failed call. Only the first of several consecutive failures is logged, so that an outage
-// does not flood the log.
-func (c *Client) reportFailure(err error, firstFailure bool) {
-	c.count.ServerList.Failed.Inc()
-	if firstFailure {
-		c.log.Warn("discovery call failed; keeping the last list", "code", "list_failed", "error", err)
-	}
-	c.handler.UpdateEndpoints(balancer.EndpointUpdate{Kind: balancer.UpdateFailed})
-}
-
 // waitForWatchRequest waits for WatchEndpoints. It returns false if the context ended first. It also returns true after SetAddress,
 // since a watch that was requested at the old address continues at the new one.
 func (c *Client) waitForWatchRequest(ctx context.Context) bool {
--- a/internal/discovery/staleness.go
+++ b/internal/discovery/staleness.go
@@ -47,25 +47,11 @@
 	c.handler.UpdateEndpoints(balancer.EndpointUpdate{Kind: balancer.UpdateStale})
 }
 
-// handleResponse applies a list and publishes it. fromRevision is the revision from which the call continued, or negative for a
-// complete list. A delta without members is published only if the handler must be notified that discovery responded: for the
-// first response, or after the list was reported stale.
-func (c *Client) handleResponse(list List, fromRevision int64) {
-	c.updateMembers(list) // before publishing, since the handler may need the address of a new server at once
-	s := &c.staleness
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wasStale := s.reported
+// responded records that discovery responded just now. It reports whether the list had been reported stale. The caller holds s.mu.
+func (s *staleness) responded() (wasStale bool) {
+	wasStale = s.reported
 	s.reported = false
 	s.lastResponse = time.Now()
 	s.timer.Reset(staleAfter)
-	c.count.ServerList.LastResponse.Set(s.lastResponse.UnixMilli())
-	switch {
-	case list.Complete:
-		c.count.ServerList.Full.Inc()
-		c.publish(list, balancer.FullUpdate)
-	case len(list.Members) > 0 || fromRevision < 0 || wasStale:
-		c.count.ServerList.Delta.Inc()
-		c.publish(list, balancer.DeltaUpdate)
-	}
+	return wasStale
 }
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -21,6 +21,7 @@
 	balancer.NoCapacity:        "no_place",
 	balancer.AttemptsExhausted: "tried",
 	balancer.FleetOverload:     "fleet_cut",
+	balancer.NoServers:         "no_servers",
 }
 
 // OutcomeName returns the key of an outcome in counters and log lines.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -159,6 +159,7 @@
 		OnIdleClosed: func(id balancer.ServerID) {
 			n.engine.Post(balancer.ConnectionClosed{Server: id})
 		},
+		ListRevision: n.discovery.Revision,
 		LoadReports:  settings.LoadReports,
 		QueueReports: c.Settings.QueuedIndex >= 0,
 		Log:          log,
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -23,6 +23,8 @@
 	cancel  context.CancelFunc
 	done    func(engine.Completion)
 
+	listRevision int64 // of the endpoint list by which the server was chosen
+
 	mu         sync.Mutex
 	startTime  time.Time // Completion.Elapsed is measured from here
 	conn       *conn     // nil before attach and after detach
@@ -37,6 +39,9 @@
 		request.Body.Retain()
 	}
 	a := &Attempt{pool: p, server: server, request: request, startTime: time.Now(), done: done}
+	if p.options.ListRevision != nil {
+		a.listRevision = p.options.ListRevision()
+	}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	go a.run()
 	return a
@@ -158,6 +163,7 @@
 // and otherwise the reason for closing it.
 func (a *Attempt) exchange(c *conn, resp *fasthttp.Response) (response, closeReason, error) {
 	c.requests++
+	c.listRevision = a.listRevision
 	if err := a.write(c); err != nil {
 		a.mu.Lock()
 		a.mayHaveRun = false // the last byte was not written
--- a/internal/upstream/close.go
+++ b/internal/upstream/close.go
@@ -62,7 +62,7 @@
 func (p *Pool) recordClose(c *conn, reason closeReason, err error) {
 	p.options.Counters.ServerEnds.Inc(string(reason))
 	args := []any{"code", string(reason), "server", string(c.server), "addr", c.addr, "requests", c.requests,
-		"age_ms", time.Since(c.opened).Milliseconds()}
+		"age_ms", time.Since(c.opened).Milliseconds(), "list_revision", c.listRevision}
 	if err != nil {
 		args = append(args, "error", err.Error())
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,8 @@
 	opened    time.Time
 	idleSince time.Time
 	requests  int // requests written on this connection, including incomplete ones
+
+	listRevision int64 // revision of the endpoint list by which the server of the last request was chosen
 }
 
 // awaitReuseDelay waits until reuseDelay has passed since the last response. It reports false if the context ends first.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,6 +35,8 @@
 	// OnIdleClosed is called after an idle connection to a server was closed. It may be called from any goroutine and may
 	// block. It may be nil.
 	OnIdleClosed func(balancer.ServerID)
+	// ListRevision returns the revision of the endpoint list by which servers are chosen now; nil: not logged.
+	ListRevision func() int64
 	Log          *slog.Logger
 	Counters     *counters.Counters
 }
