Reproduce the incident: servers missing from an empty complete list get requests

The test starts the built node beside two servers and a discovery on loopback, answers the node's watch with a complete list without members (members: [], null, left out), waits for the grace and sends 20 requests.

The tests' discovery can answer a watch with the whole list now; before, it answered watches with entries alone, which is why no test saw this.

--- a/cmd/tackhub/discoveryserver_test.go
+++ b/cmd/tackhub/discoveryserver_test.go
@@ -13,7 +13,7 @@
 )
 
 // discoveryServer is a small discovery server for tests. It responds to a poll without a revision with the full list,
-// and to a watch with the next change that a test announces.
+// and to a watch with the next change that a test announces, or with the full list after announceList.
 type discoveryServer struct {
 	addr string
 
@@ -21,6 +21,8 @@
 	revision            int
 	list                []member
 	delta               []member
+	complete            bool            // watches are answered with the full list
+	noMembers           json.RawMessage // the value of "members" in a full list without members; nil: []; empty: left out
 	raw                 string        // if not empty, the body of every response
 	changed             chan struct{} // closed on a change, then replaced
 	watches             int
@@ -64,6 +66,18 @@
 	defer d.mu.Unlock()
 	d.revision++
 	d.delta = delta
+	d.complete = false
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// announceList increments the revision, replaces the list and responds to the node's watch with all of it.
+func (d *discoveryServer) announceList(list []member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	d.list = list
+	d.complete = true
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -103,14 +117,25 @@
 		_, _ = io.WriteString(w, d.raw)
 		return
 	}
-	out := map[string]any{"revision": d.revision, "complete": from == "", "members": d.list}
-	if from != "" {
-		out["members"] = d.delta
-		if d.delta == nil {
-			out["members"] = []member{}
-		}
+	_ = json.NewEncoder(w).Encode(d.answer(from == "" || d.complete))
+}
+
+// answer returns the response to a call: the full list, or the last change. The caller holds d.mu.
+func (d *discoveryServer) answer(complete bool) map[string]any {
+	out := map[string]any{"revision": d.revision, "complete": complete}
+	members := d.delta
+	if complete {
+		members = d.list
+	}
+	switch {
+	case len(members) > 0:
+		out["members"] = members
+	case !complete || d.noMembers == nil:
+		out["members"] = []member{}
+	case len(d.noMembers) > 0:
+		out["members"] = d.noMembers
 	}
-	_ = json.NewEncoder(w).Encode(out)
+	return out
 }
 
 // watchCount returns the number of watches that the node has started.
--- /dev/null
+++ b/cmd/tackhub/withdrawal_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+)
+
+// withdrawalGrace is the drain grace of the nodes in the tests of withdrawn servers.
+const withdrawalGrace = 300 * time.Millisecond
+
+// settingsWithShortGrace returns testSettings with withdrawalGrace as the drain grace.
+func settingsWithShortGrace() string {
+	return strings.Replace(testSettings, `"stop_sending_within_ms":1500`, `"stop_sending_within_ms":300`, 1)
+}
+
+// requestsAfterWithdrawal is the number of requests that a test sends after the servers were withdrawn.
+const requestsAfterWithdrawal = 20
+
+// expectNoRequests waits for the drain grace, then sends requests. Every one must be rejected at once, and none may reach a server.
+func expectNoRequests(t *testing.T, p *nodeProcess, servers ...*backend) {
+	t.Helper()
+	time.Sleep(withdrawalGrace)
+	before := 0
+	for _, s := range servers {
+		before += len(s.requests())
+	}
+	notRejected := 0
+	for range requestsAfterWithdrawal {
+		if resp := p.mustDo(request("look", 1000)); resp.status != 503 || resp.took > 500*time.Millisecond {
+			notRejected++
+		}
+	}
+	after := 0
+	for _, s := range servers {
+		after += len(s.requests())
+	}
+	if after > before || notRejected > 0 {
+		t.Errorf("after the grace %d of %d requests reached a withdrawn server, %d were not rejected within 500ms; want 0 and 0",
+			after-before, requestsAfterWithdrawal, notRejected)
+	}
+}
+
+// emptyMembers are the forms of "members" in a complete list without members; the empty one leaves the field out.
+var emptyMembers = map[string]json.RawMessage{"empty array": json.RawMessage("[]"), "null": json.RawMessage("null"), "left out": {}}
+
+// A complete list without members withdraws every server. If it is taken for a fault of discovery, all servers get new requests
+// after the drain grace, until a later list has members.
+func TestServersMissingFromEmptyListGetNoRequests(t *testing.T) {
+	for form, noMembers := range emptyMembers {
+		t.Run(form, func(t *testing.T) {
+			s1, s2 := startBackend(t, "s1", respond(200, "one")), startBackend(t, "s2", respond(200, "two"))
+			p, d := startWithBackends(t, settingsWithShortGrace(), s1, s2)
+			if resp := p.mustDo(request("look", 1000)); resp.status != 200 {
+				t.Fatalf("got status %d before the withdrawal, want 200", resp.status)
+			}
+			d.noMembers = noMembers
+			d.announceList(nil)
+			expectNoRequests(t, p, s1, s2)
+			d.announceList(members(s1, s2))
+			eventually(t, "service by the servers that came back", func() bool { return p.mustDo(request("look", 1000)).status == 200 })
+		})
+	}
+}
