Apply a complete list that names nobody

Cause: internal/discovery/call.go took such a list for a fault of discovery and kept the last one; ParseList did the same with members: null and with members left out.

Change: the check is gone; members null, or left out beside complete, mean none. What has no revision, or neither complete nor members, is no list and changes nothing, as before.

--- a/cmd/tackhub/discoveryserver_test.go
+++ b/cmd/tackhub/discoveryserver_test.go
@@ -23,8 +23,8 @@
 	delta               []member
 	complete            bool            // watches are answered with the full list
 	noMembers           json.RawMessage // the value of "members" in a full list without members; nil: []; empty: left out
-	raw                 string        // if not empty, the body of every response
-	changed             chan struct{} // closed on a change, then replaced
+	raw                 string          // if not empty, the body of every response
+	changed             chan struct{}   // closed on a change, then replaced
 	watches             int
 	cancelledWatchCount int          // watches that the node cancelled
 	responseCount       atomic.Int64 // responses and cancelled watches
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -46,22 +46,32 @@
 	Members  []Member `json:"members"`
 }
 
-// ParseList decodes and validates a response. It returns an error for a list without a revision or members, with an empty or
-// repeated id, or with an address that has no port, so that such a list does not replace a valid one.
+// ParseList decodes and validates a response. It returns an error for a list without a revision, with an empty or repeated id, or
+// with an address that has no port, so that such a list does not replace a valid one. "members" may be null, or left out if
+// "complete" is given: the list then has no members.
 func ParseList(raw []byte) (List, error) {
 	var decoded struct {
-		Revision *int64   `json:"revision"`
-		Complete bool     `json:"complete"`
-		Members  []Member `json:"members"`
+		Revision *int64          `json:"revision"`
+		Complete *bool           `json:"complete"`
+		Members  json.RawMessage `json:"members"`
 	}
 	if err := json.Unmarshal(raw, &decoded); err != nil {
 		return List{}, err
 	}
-	if decoded.Revision == nil || decoded.Members == nil {
-		return List{}, errors.New(`"revision" or "members" is missing`)
+	if decoded.Revision == nil {
+		return List{}, errors.New(`"revision" is missing`)
 	}
-	seen := make(map[string]bool, len(decoded.Members))
-	for i, m := range decoded.Members {
+	if decoded.Complete == nil && len(decoded.Members) == 0 {
+		return List{}, errors.New(`"complete" and "members" are missing`)
+	}
+	list := List{Revision: *decoded.Revision, Complete: decoded.Complete != nil && *decoded.Complete, Members: []Member{}}
+	if len(decoded.Members) > 0 {
+		if err := json.Unmarshal(decoded.Members, &list.Members); err != nil {
+			return List{}, fmt.Errorf("members: %w", err)
+		}
+	}
+	seen := make(map[string]bool, len(list.Members))
+	for i, m := range list.Members {
 		if err := m.validate(); err != nil {
 			return List{}, fmt.Errorf("members[%d]: %w", i, err)
 		}
@@ -70,7 +80,7 @@
 		}
 		seen[m.ID] = true
 	}
-	return List{Revision: *decoded.Revision, Complete: decoded.Complete, Members: decoded.Members}, nil
+	return list, nil
 }
 
 // validate checks one member without comparing it with others.
