Hand an empty list over to the successor as a list

Cause: requestState took a list without members for no list. The predecessor's list now counts if it is complete, and a predecessor that never had one (no cached list, no answer of discovery) says so by complete: false, which earlier versions, that look at the members alone, read as before.

--- a/cmd/tackhub/counters_test.go
+++ b/cmd/tackhub/counters_test.go
@@ -39,6 +39,8 @@
 	Attempts   map[string]int `json:"attempts"`
 	Outcomes   map[string]int `json:"outcomes"`
 	Rejections map[string]int `json:"rejections"`
+	Registry   map[string]int `json:"registry"`
+	GivenUp    map[string]int `json:"given_up"`
 	Reports    map[string]int `json:"reports"`
 	Probes     map[string]int `json:"probes"`
 	Clients    map[string]int `json:"client_connections"`
--- a/cmd/tackhub/discoveryserver_test.go
+++ b/cmd/tackhub/discoveryserver_test.go
@@ -24,6 +24,7 @@
 	complete            bool            // watches are answered with the full list
 	noMembers           json.RawMessage // the value of "members" in a full list without members; nil: []; empty: left out
 	raw                 string          // if not empty, the body of every response
+	silent              bool            // no call is answered
 	changed             chan struct{}   // closed on a change, then replaced
 	watches             int
 	cancelledWatchCount int          // watches that the node cancelled
@@ -92,6 +93,15 @@
 	d.changed = make(chan struct{})
 }
 
+// silence ends the open watches and leaves every further call without a response.
+func (d *discoveryServer) silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = true
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 func (d *discoveryServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer d.responseCount.Add(1)
 	from, holdMs := r.URL.Query().Get("from"), r.URL.Query().Get("hold_ms")
@@ -112,6 +122,11 @@
 		}
 		d.mu.Lock()
 	}
+	if d.silent {
+		d.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	defer d.mu.Unlock()
 	if d.raw != "" {
 		_, _ = io.WriteString(w, d.raw)
--- a/cmd/tackhub/upgrade_test.go
+++ b/cmd/tackhub/upgrade_test.go
@@ -23,7 +23,9 @@
 	dir         string // $TMPDIR of the processes, which contains the handover socket
 	discovery   *discoveryServer
 	predecessor *nodeProcess
-	admin       string // address of the predecessor's admin listener
+	admin       string   // address of the predecessor's admin listener
+	settings    string   // of every process; empty: testSettings
+	known       []member // the endpoint list in the configuration of every process
 }
 
 // newUpgradeTest starts a discovery server and the first process of a node.
@@ -37,7 +39,8 @@
 
 // options returns the options of a process with an admin listener at the address admin.
 func (u *upgradeTest) options(admin string) nodeOptions {
-	return nodeOptions{discovery: u.discovery.addr, env: []string{"TMPDIR=" + u.dir, "ROUTER_OPERATOR=" + admin}}
+	return nodeOptions{discovery: u.discovery.addr, settings: u.settings, known: u.known,
+		env: []string{"TMPDIR=" + u.dir, "ROUTER_OPERATOR=" + admin}}
 }
 
 // startSuccessor starts the next process of the node and waits until its admin listener reports it healthy.
--- a/cmd/tackhub/withdrawal_test.go
+++ b/cmd/tackhub/withdrawal_test.go
@@ -63,3 +63,21 @@
 		})
 	}
 }
+
+// A process that was told of an empty list hands over to its successor. If the successor takes the empty list for a missing one, it
+// goes by the list of its configuration, and withdrawn servers get requests until discovery answers.
+func TestSuccessorKeepsWithdrawalsOfEmptyList(t *testing.T) {
+	s1, s2 := startBackend(t, "s1", respond(200, "one")), startBackend(t, "s2", respond(200, "two"))
+	u := &upgradeTest{t: t, dir: t.TempDir(), discovery: startDiscoveryServer(t, members(s1, s2)), admin: freeAddress(t)}
+	u.known = members(s1, s2)
+	u.settings = settingsWithShortGrace()
+	u.predecessor = startNode(t, u.options(u.admin))
+	eventually(t, "the first discovery watch", func() bool { return u.discovery.watchCount() > 0 })
+	u.discovery.announceList(nil)
+	eventually(t, "the empty list", func() bool { return u.predecessor.counts().Registry["entries"] == 0 })
+	u.discovery.silence()
+	successor, _ := u.startSuccessor()
+	u.predecessor.terminate()
+	u.predecessor.exit()
+	expectNoRequests(t, successor, s1, s2)
+}
--- a/internal/discovery/applylist.go
+++ b/internal/discovery/applylist.go
@@ -43,6 +43,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.revision = list.Revision
+	c.known = true
 	if list.Complete {
 		clear(c.members)
 	}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -61,6 +61,7 @@
 	mu        sync.RWMutex
 	members   map[balancer.ServerID]Member
 	revision  int64
+	known     bool // members is a list of discovery, not the lack of one; an empty list may be known
 	transport *transport
 
 	handler ListHandler // set once, by Run
@@ -85,6 +86,7 @@
 	}
 	cached.Complete = true
 	c.updateMembers(cached)
+	c.known = len(cached.Members) > 0
 	return c
 }
 
@@ -113,11 +115,11 @@
 	return len(c.members)
 }
 
-// List returns the current complete list.
+// List returns the current list. It is complete unless nothing is known: there is no cached list, and discovery has not responded.
 func (c *Client) List() List {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	list := List{Revision: c.revision, Complete: true, Members: make([]Member, 0, len(c.members))}
+	list := List{Revision: c.revision, Complete: c.known, Members: make([]Member, 0, len(c.members))}
 	for _, m := range c.members {
 		list.Members = append(list.Members, m)
 	}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -62,9 +62,9 @@
 	state.dropIncompatible(successor.PredecessorIdentity, id)
 	if successor.PredecessorIdentity != id {
 		log.Warn("the predecessor has different settings or another discovery address, the state that depends on them is not taken over",
-			"code", "handover_part", "list", len(state.List.Members) > 0, "records", len(state.Balancer.Servers) > 0)
+			"code", "handover_part", "list", state.listKnown(), "records", len(state.Balancer.Servers) > 0)
 	}
-	if len(state.List.Members) > 0 {
+	if state.listKnown() {
 		c.Known = state.List
 	}
 	return state
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -36,6 +36,9 @@
 	ClockZero float64 `json:"clock_zero_ms,omitempty"`
 }
 
+// listKnown reports whether the predecessor had a list of discovery. That list may be empty: then all servers have been withdrawn.
+func (t *handoverState) listKnown() bool { return t.List.Complete || len(t.List.Members) > 0 }
+
 // adjustClock converts the times of the balancer's state to this process's clock. The clocks of the two
 // processes differ if the wall clock was stepped between their starts.
 func (t *handoverState) adjustClock(own clock.Clock) {
