Inventory: let discovery's empty list and removals reach restored servers

With [inventory] on: a first merged list without members was never published, so the balancer went on choosing by its former list; a removal by discovery was ignored for a server that only the restored list named (saved state, the configuration's list, so the first answer of a restarted node of a large fleet, which asks for changes); discovery's first complete list left restored servers in service that it had named before and no longer names, for as long as a file was missing.

Cause: an empty view stood for one that nobody has reported yet, and removals counted only against what the same source had said since the start. Restored entries carry their origin now, the first list is ready once discovery has reported, and a removal always counts.

--- a/internal/endpointmerge/event.go
+++ b/internal/endpointmerge/event.go
@@ -10,6 +10,10 @@
 	Source   string
 	Revision string
 	Servers  []inventory.Server
+
+	// Origins are the sources from which the servers of a restored list come, by server id. If such a source's first list does not
+	// name the server, the server has been removed.
+	Origins map[string][]string
 }
 
 // Delta contains changes to a source's list.
--- a/internal/endpointmerge/source.go
+++ b/internal/endpointmerge/source.go
@@ -44,6 +44,9 @@
 // applySnapshot replaces the source's list with a complete list.
 func (v *View) applySnapshot(e Snapshot, changed idSet) {
 	s := v.sources[e.Source]
+	if e.Source == SourceRestored {
+		v.restoredOrigins = e.Origins
+	}
 	previousServers := s.servers
 	s.servers = make(map[string]inventory.Server, len(e.Servers))
 	for _, server := range e.Servers {
@@ -60,6 +63,9 @@
 	firstReport := !s.reported
 	s.reported = true
 	s.revision = e.Revision
+	if firstReport {
+		v.removeRestored(e.Source, changed)
+	}
 	if firstReport && slices.Contains(v.settings.RequiredSources, e.Source) {
 		for id := range v.members { // members that the required source does not list are removed now
 			changed[id] = true
@@ -82,10 +88,21 @@
 		v.tombstones.remove(e.Source, server.ID)
 		changed[server.ID] = true
 	}
-	for _, id := range e.Removed {
-		if s.lists(id) {
-			delete(s.servers, id)
-			v.recordRemoval(e.Source, id)
+	for _, id := range e.Removed { // also a server that only the restored list names: the source may have named it before the start
+		delete(s.servers, id)
+		v.recordRemoval(e.Source, id)
+		changed[id] = true
+	}
+}
+
+// removeRestored removes the servers of the restored list that come from a source, unless the source's first list names them.
+func (v *View) removeRestored(name string, changed idSet) {
+	if name == SourceRestored {
+		return
+	}
+	for id, origins := range v.restoredOrigins {
+		if slices.Contains(origins, name) && !v.sources[name].lists(id) {
+			v.recordRemoval(name, id)
 			changed[id] = true
 		}
 	}
--- a/internal/endpointmerge/view.go
+++ b/internal/endpointmerge/view.go
@@ -20,6 +20,8 @@
 	settings Settings
 	sources  map[string]*source
 
+	restoredOrigins map[string][]string // by server id: the sources from which the restored list has it
+
 	tombstones   tombstones
 	held         heldLists
 	precedence   map[string][]string // by field: sources, highest precedence first; "" for fields without a precedence of their own
--- a/internal/endpoints/inventory.go
+++ b/internal/endpoints/inventory.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -226,11 +227,13 @@
 	return false
 }
 
-// firstListReady reports whether the first list can be published: it has at least one server, and either all sources have
-// reported or a partial list is allowed.
+// firstListReady reports whether the first list can be published: all sources have reported, or a partial list is allowed and is
+// not empty for want of reports. Discovery's report may be that there is no server.
 func (i *Inventory) firstListReady() bool {
-	if i.view.Len() == 0 {
-		return false
+	pending := i.view.PendingSources()
+	if len(pending) == 0 {
+		return true
 	}
-	return i.allowPartialList || len(i.view.PendingSources()) == 0
+	discoveryReported := i.options.Discovery && !slices.Contains(pending, sourceDiscovery)
+	return i.allowPartialList && (i.view.Len() > 0 || discoveryReported)
 }
--- a/internal/endpoints/inventory_test.go
+++ b/internal/endpoints/inventory_test.go
@@ -142,3 +142,37 @@
 	b.ReportMetric(latenciesMs[len(latenciesMs)/2], "p50-ms")
 	b.ReportMetric(latenciesMs[len(latenciesMs)*99/100], "p99-ms")
 }
+
+// Discovery's first complete list names nobody while the balancer has an older list. If the merged list is published only once it
+// has members, the balancer goes on choosing the withdrawn servers.
+func TestEmptyFirstListIsPublished(t *testing.T) {
+	for name, sources := range map[string]string{"discovery alone": "", "file missing": "[[inventory.file]]\npath=\"/nowhere/list.csv\"\n"} {
+		t.Run(name, func(t *testing.T) {
+			node := newFakeNode()
+			node.start(t, "[inventory]\n"+sources)
+			node.directory.HandleMembers(discovery.List{Revision: 7}, balancer.FullUpdate)
+			if u := node.nextUpdate(t); len(u.Endpoints) != 0 || u.Kind != balancer.FullUpdate {
+				t.Errorf("first update = %+v, want a full list without endpoints", u)
+			}
+			if _, ok := node.directory.Address("d1"); ok {
+				t.Error("a server that no list names has an address")
+			}
+		})
+	}
+}
+
+// The list that the process starts with comes from discovery. If its servers stay in service until every source has reported, those
+// that discovery's complete list no longer names get requests while a file is missing.
+func TestCompleteListWithdrawsCachedServers(t *testing.T) {
+	node := newFakeNode()
+	node.start(t, "[inventory]\n[[inventory.file]]\npath=\"/nowhere/list.csv\"\n")
+	cached := discovery.List{Revision: 1, Members: []discovery.Member{{ID: "d1", HostPort: "127.0.0.1:1", Phase: "SERVING"}}}
+	node.directory.HandleMembers(cached, balancer.CachedUpdate)
+	if u := node.nextUpdate(t); describe(u) != "d1" {
+		t.Fatalf("first update = %+v, want d1", u)
+	}
+	node.directory.HandleMembers(discovery.List{Revision: 2}, balancer.FullUpdate)
+	if u := node.nextUpdate(t); describe(u) != "d1-" {
+		t.Errorf("update after discovery's empty list = %+v, want the removal of d1", u)
+	}
+}
--- a/internal/endpoints/sources.go
+++ b/internal/endpoints/sources.go
@@ -54,11 +54,21 @@
 	case balancer.CachedUpdate:
 		// This list was cached before the node restarted and is older than any source's report, so it is treated as restored.
 		if len(servers) > 0 {
-			i.enqueue(sourceEvent{event: endpointmerge.Snapshot{Source: endpointmerge.SourceRestored, Revision: "known", Servers: servers}})
+			i.enqueue(sourceEvent{event: endpointmerge.Snapshot{Source: endpointmerge.SourceRestored, Revision: "known", Servers: servers,
+				Origins: originsOf(servers, sourceDiscovery)}})
 		}
 	}
 }
 
+// originsOf returns the origins of servers that come from one source.
+func originsOf(servers []inventory.Server, source string) map[string][]string {
+	origins := make(map[string][]string, len(servers))
+	for _, s := range servers {
+		origins[s.ID] = []string{source}
+	}
+	return origins
+}
+
 // fromDiscovery converts a member of discovery's list. Any phase except SERVING counts as draining.
 func fromDiscovery(m discovery.Member) inventory.Server {
 	phase := inventory.Draining
--- a/internal/endpoints/state.go
+++ b/internal/endpoints/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"tackhub.example/tackhub/internal/endpointmerge"
@@ -62,10 +64,15 @@
 // the members.
 func (i *Inventory) restoreMembers(revision string, members []endpointmerge.Member) {
 	servers := make([]inventory.Server, 0, len(members))
+	origins := make(map[string][]string, len(members))
 	for _, m := range members {
 		servers = append(servers, m.Server)
+		if slices.Contains(slices.Collect(maps.Values(m.FieldSources)), sourceDiscovery) { // a file's removals are not told to this process
+			origins[m.ID] = []string{sourceDiscovery}
+		}
 	}
-	i.view.Step(i.node.Clock().Now(), endpointmerge.Snapshot{Source: endpointmerge.SourceRestored, Revision: revision, Servers: servers})
+	i.view.Step(i.node.Clock().Now(), endpointmerge.Snapshot{Source: endpointmerge.SourceRestored, Revision: revision, Servers: servers,
+		Origins: origins})
 }
 
 // save writes the view to disk if it has changed. Consecutive failures, as on a full or read-only disk, are logged once, and
