Follow a list of which one member cannot be used

Cause: ParseList rejected the list at its first unusable member. What discovery has written is told, so the rest of the list is in force.

Change: readList reads each member by itself. One that cannot be used is withdrawn if its id can be read, since the list does not clearly offer it; two different entries of one id withdraw the server; null, left-out fields and whole numbers with a fraction are read. After a list of changes with such a member the complete list is requested. No list at all (no JSON, no revision, cut short, members of another type) changes nothing, as before. The configuration's known list stays strict: one clear error.

Log list_entry, at the first such list and then every 10 s; counter list.rejected_entries.

--- a/cmd/tackhub/withdrawal_test.go
+++ b/cmd/tackhub/withdrawal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -81,3 +82,30 @@
 	u.predecessor.exit()
 	expectNoRequests(t, successor, s1, s2)
 }
+
+// A member of a complete list cannot be used. If that voids the list, servers that the list drains or no longer names get requests
+// for as long as discovery repeats it.
+func TestListWithUnusableMemberWithdrawsServers(t *testing.T) {
+	for name, unusable := range map[string]string{
+		"no port": `{"id":"x","host_port":"nowhere","phase":"SERVING"}`, "field of another type": `{"id":"x","host_port":"127.0.0.1:1","phase":"SERVING","size":"1"}`,
+		"no id": `{"host_port":"127.0.0.1:1","phase":"SERVING"}`, "id twice": `{"id":"x","host_port":"127.0.0.1:1","phase":"SERVING"},{"id":"x","host_port":"127.0.0.1:2","phase":"SERVING"}`,
+		"unknown phase": `{"id":"x","host_port":"127.0.0.1:1","phase":"RESTING"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			removed, draining, serving := startBackend(t, "s1", respond(200, "one")), startBackend(t, "s2", respond(200, "two")), startBackend(t, "s3", respond(200, "three"))
+			p, d := startWithBackends(t, settingsWithShortGrace(), removed, draining, serving)
+			d.respondWith(fmt.Sprintf(`{"revision":9,"complete":true,"members":[%s,{"id":"s2","host_port":"%s","phase":"DRAINING"},{"id":"s3","host_port":"%s","phase":"SERVING"}]}`,
+				unusable, draining.addr, serving.addr))
+			time.Sleep(withdrawalGrace)
+			before := len(removed.requests()) + len(draining.requests())
+			for range requestsAfterWithdrawal {
+				if resp := p.mustDo(request("look", 1000)); resp.status != 200 || resp.body != "three" {
+					t.Fatalf("got %d %q, want 200 from the server that the list offers", resp.status, resp.body)
+				}
+			}
+			if n := len(removed.requests()) + len(draining.requests()) - before; n > 0 {
+				t.Errorf("%d requests reached withdrawn servers, want 0", n)
+			}
+		})
+	}
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -124,6 +124,7 @@
 	AppliedRevision  Count `json:"revision"`          // of the list in use
 	ReceivedRevision Count `json:"revision_received"` // of the last list received, whether it was applied or not
 	Applied          Count `json:"applied_unix_ms"`   // time of the last list with news, in Unix milliseconds; 0 before the first one
+	RejectedEntries  Count `json:"rejected_entries"`  // members of lists that cannot be used; their servers get no new requests
 	Serving          Count `json:"serving"`           // servers in discovery's list that get new requests
 	Draining         Count `json:"draining"`          // servers in discovery's list that get no new requests
 }
--- a/internal/discovery/applylist.go
+++ b/internal/discovery/applylist.go
@@ -15,24 +15,69 @@
 	callHedgedPoll callKind = "hedged_poll"
 )
 
-// apply makes a received list the current one and publishes it. A delta without members is published only if the handler must be
-// notified that discovery responded: for the first response, or after the list was reported stale.
-func (c *Client) apply(list List, call callKind) {
-	c.updateMembers(list) // before publishing, since the handler may need the address of a new server at once
+// request is how a list was requested.
+type request struct {
+	kind  callKind
+	since int64 // revision; noRevision for the complete list
+}
+
+// requestSince returns a request for the changes since a revision or, if it is negative, for the complete list.
+func requestSince(revision int64) request {
+	if revision < 0 {
+		return request{callPoll, noRevision}
+	}
+	return request{callWatch, revision}
+}
+
+// receive applies a response: discovery counts as having notified this node of all of it as soon as it has written the response. It
+// returns an error if the complete list must be requested next, since changes may be missing from this response.
+func (c *Client) receive(t *transport, received response, requested request) error {
 	s := &c.staleness
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.recordReceived(received)
+	list := received.list
+	switch {
+	case !list.Complete && c.appliedFrom == t && list.Revision < c.Revision():
+		return nil // a late response to a hedged call was newer
+	}
+	c.apply(t, list, requested.kind)
+	if !list.Complete && len(received.rejected) > 0 {
+		return incompleteError{failureEntry, received.rejected[0]}
+	}
+	return nil
+}
+
+// receiveIfNewer applies a response that arrived after another one to a later call.
+func (c *Client) receiveIfNewer(t *transport, received response) {
+	s := &c.staleness
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.recordReceived(received)
+	isNewer := received.list.Revision > c.Revision()
+	isFirst := c.appliedFrom != t && t == c.currentTransport()
+	if isFirst || isNewer && c.appliedFrom == t {
+		c.apply(t, received.list, callHedgedPoll)
+	}
+}
+
+// apply makes a received list the current one and publishes it. A delta without members is published only if the handler must be
+// notified that discovery responded: for the first response, or after the list was reported stale. The caller holds staleness.mu.
+func (c *Client) apply(t *transport, list List, kind callKind) {
+	c.appliedFrom = t
+	c.updateMembers(list) // before publishing, since the handler may need the address of a new server at once
+	s := &c.staleness
 	wasStale := s.responded()
 	c.countList(list, s.lastResponse)
 	if list.Complete || len(list.Members) > 0 {
-		c.logList(list, call)
+		c.logList(list, kind)
 	}
 	c.failures = failureStreak{}
 	switch {
 	case list.Complete:
 		c.count.ServerList.Full.Inc()
 		c.publish(list, balancer.FullUpdate)
-	case len(list.Members) > 0 || call != callWatch || wasStale:
+	case len(list.Members) > 0 || kind != callWatch || wasStale:
 		c.count.ServerList.Delta.Inc()
 		c.publish(list, balancer.DeltaUpdate)
 	}
@@ -92,7 +137,6 @@
 func (c *Client) countList(list List, receivedAt time.Time) {
 	count := &c.count.ServerList
 	count.LastResponse.Set(receivedAt.UnixMilli())
-	count.ReceivedRevision.Set(list.Revision)
 	count.AppliedRevision.Set(list.Revision)
 	if !list.Complete && len(list.Members) == 0 {
 		return
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -56,7 +56,11 @@
 	running        atomic.Bool
 
 	staleness staleness
-	failures  failureStreak // guarded by staleness.mu
+
+	// Guarded by staleness.mu.
+	appliedFrom     *transport    // the transport of the last applied list; nil: none was applied
+	failures        failureStreak // consecutive failed calls
+	rejectedEntries failureStreak // lists with members that cannot be used
 
 	mu        sync.RWMutex
 	members   map[balancer.ServerID]Member
--- a/internal/discovery/failurelog.go
+++ b/internal/discovery/failurelog.go
@@ -23,12 +23,26 @@
 	failureNoCapacity failureReason = "no_capacity" // status 429 or 503
 	failureStatus     failureReason = "status"      // any other status but 200
 	failureNoList     failureReason = "no_list"     // the body is no endpoint list
+
+	failureEntry failureReason = "entry" // changes were applied, but one of them cannot be used
 )
 
+// incompleteError reports that changes were applied, and that others may be missing.
+type incompleteError struct {
+	reason failureReason
+	err    error
+}
+
+func (e incompleteError) Error() string { return "changes may be missing: " + e.err.Error() }
+func (e incompleteError) Unwrap() error { return e.err }
+
 // reasonOf returns the reason of a failed call.
 func reasonOf(err error) failureReason {
 	var invalid invalidListError
+	var incomplete incompleteError
 	switch {
+	case errors.As(err, &incomplete):
+		return incomplete.reason
 	case errors.As(err, new(rejectedError)):
 		return failureNoCapacity
 	case errors.As(err, new(statusError)):
@@ -41,14 +55,15 @@
 	return failureConnection
 }
 
-// failureStreak describes the consecutive failed calls since the last accepted list. The zero value is a streak without failures.
+// failureStreak counts events of one kind, such as the consecutive failed calls since the last accepted list, and limits the rate of
+// their log lines. The zero value is a streak without events.
 type failureStreak struct {
 	calls    int
 	began    time.Time
 	loggedAt time.Time
 }
 
-// add counts a failed call and reports whether it is to be logged.
+// add counts an event and reports whether it is to be logged.
 func (f *failureStreak) add(now time.Time) (log bool) {
 	if f.calls == 0 {
 		f.began = now
@@ -61,6 +76,22 @@
 	return true
 }
 
+// recordReceived counts a received list, and counts and logs its members that cannot be used. The caller holds staleness.mu.
+func (c *Client) recordReceived(received response) {
+	c.count.ServerList.ReceivedRevision.Set(received.list.Revision)
+	if len(received.rejected) == 0 {
+		return
+	}
+	c.count.ServerList.RejectedEntries.Add(int64(len(received.rejected)))
+	now := time.Now()
+	if !c.rejectedEntries.add(now) {
+		return
+	}
+	first := received.rejected[0]
+	c.log.Warn("members of the endpoint list cannot be used; their servers get no new requests", "code", "list_entry", "error", first,
+		"server", first.id, "entries", len(received.rejected), "revision", received.list.Revision, "lists", c.rejectedEntries.calls)
+}
+
 // reportFailure counts a failed call, logs it at a bounded rate, and notifies the handler.
 func (c *Client) reportFailure(err error) {
 	reason := reasonOf(err)
--- a/internal/discovery/hedge.go
+++ b/internal/discovery/hedge.go
@@ -22,13 +22,10 @@
 // A call that is in flight when discovery recovers is lost, but the protocol considers this node notified of all pending changes
 // as soon as discovery recovers. If calls were made one after the other, a node would keep the old list until the lost call timed
 // out, and would send requests to servers that are draining. Therefore the next call is made after intervals.maxFailureBackoff,
-// with jitter, while earlier calls are in flight. A slow response is still accepted, and a rejection ends the poll.
-func (c *Client) hedgedPoll(ctx context.Context, t *transport) (List, error) {
-	type result struct {
-		list List
-		err  error
-	}
-	results := make(chan result, maxHedgedCalls) // buffered for all calls, so that those that end after the poll do not block
+// with jitter, while earlier calls are in flight. A slow response is still accepted, and a rejection ends the poll. A response that
+// arrives after the end of the poll is applied too if it is newer.
+func (c *Client) hedgedPoll(ctx context.Context, t *transport) (response, error) {
+	results := make(chan hedgedResult, maxHedgedCalls) // buffered for all calls, so that none blocks if the context has ended
 	interval := c.intervals.maxFailureBackoff
 	timeout := min(c.intervals.callTimeout, hedgeTimeoutFactor*interval)
 	inFlight := 0
@@ -37,13 +34,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return List{}, ctx.Err()
+			return response{}, ctx.Err()
 		case <-nextCall.C:
 			if inFlight < maxHedgedCalls {
 				inFlight++
 				go func() {
-					list, err := c.call(t, noRevision, timeout)
-					results <- result{list, err}
+					received, err := c.call(t, noRevision, timeout)
+					results <- hedgedResult{received, err}
 				}()
 			}
 			nextCall.Reset(interval/2 + rand.N(interval))
@@ -51,9 +48,24 @@
 			inFlight--
 			final := r.err == nil || errors.As(r.err, new(rejectedError)) || t != c.currentTransport()
 			if final {
-				return r.list, r.err
+				return r.response, r.err
 			}
 			c.reportFailure(r.err)
 		}
 	}
 }
+
+// hedgedResult is the result of one hedged call.
+type hedgedResult struct {
+	response response
+	err      error
+}
+
+// receiveLate receives the results of the calls that are in flight when a hedged poll ends.
+func (c *Client) receiveLate(t *transport, results <-chan hedgedResult, inFlight int) {
+	for range inFlight {
+		if r := <-results; r.err == nil {
+			c.receiveIfNewer(t, r.response)
+		}
+	}
+}
--- a/internal/discovery/intervals.go
+++ b/internal/discovery/intervals.go
@@ -30,6 +30,10 @@
 	callTimeoutManyNodes = 2500 * time.Millisecond
 )
 
+// minWatchInterval is the shortest time between two watches of which the first brought no news, so that a discovery service which
+// does not hold watches is not called without a pause. The protocol takes a watch for ended 200 ms after its response.
+const minWatchInterval = 50 * time.Millisecond
+
 // Backoff after a failed call, before jitter unless stated otherwise.
 const (
 	// initialBackoff is the backoff after the first failure. It at least doubles with each further consecutive failure.
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -15,6 +15,7 @@
 // poller holds the state of the poll loop. Only the goroutine that calls Run uses it.
 type poller struct {
 	client           *Client
+	transport        *transport    // to the discovery service to which revision belongs
 	revision         int64         // from which the next call continues; negative: it requests the complete list
 	backoff          time.Duration // delay after the next failed call, without jitter
 	lastCallTimedOut bool          // the last call got no response or no connection in time
@@ -25,10 +26,10 @@
 	c.handler = handler
 	c.running.Store(true)
 	defer c.startStaleTimer().Stop()
+	p := &poller{client: c, transport: c.currentTransport(), revision: noRevision, backoff: initialBackoff}
 	// The list is published even if it is empty, because the balancer needs it as its first event. With Options.WatchOnRequest
 	// the balancer calls WatchEndpoints only after this event.
 	c.publish(cached, balancer.CachedUpdate)
-	p := &poller{client: c, revision: noRevision, backoff: initialBackoff}
 	if spread := c.intervals.firstCallSpread; spread > 0 {
 		if len(cached.Members) > 0 { // a restarted node needs only the changes since its cached list, which costs discovery less
 			p.revision = cached.Revision
@@ -48,13 +49,11 @@
 			return
 		}
 		requested = !c.watchOnRequest
-		t := c.currentTransport()
-		err := p.follow(ctx, t)
-		if t != c.currentTransport() { // aborted by SetAddress: start over at the new address at once, without reporting a failure
+		p.useTransport(c.currentTransport())
+		err := p.follow(ctx)
+		if p.transport != c.currentTransport() { // aborted by SetAddress: start over at the new address at once, without reporting a failure
 			c.clearAddressChanged()
 			requested = true
-			p.revision = noRevision
-			p.backoff = initialBackoff
 			continue
 		}
 		if !c.watchOnRequest { // with WatchOnRequest the balancer controls the backoff
@@ -63,23 +62,37 @@
 	}
 }
 
+// useTransport switches to another transport. Revisions of different discovery services cannot be compared, so the next call
+// requests the complete list.
+func (p *poller) useTransport(t *transport) {
+	if t == p.transport {
+		return
+	}
+	p.transport = t
+	p.backoff = initialBackoff
+}
+
 // follow fetches the list and then its changes until a call fails, and returns the error of that call. It returns nil if SetAddress
-// or the end of the context aborted the call.
-func (p *poller) follow(ctx context.Context, t *transport) error {
+// or the end of the context aborted the call. A list that arrives in that moment is applied all the same.
+func (p *poller) follow(ctx context.Context) error {
 	c := p.client
 	for ctx.Err() == nil {
-		list, call, err := p.poll(ctx, t)
-		if t != c.currentTransport() || ctx.Err() != nil {
+		began := time.Now()
+		received, call, err := p.poll(ctx)
+		if p.transport != c.currentTransport() || ctx.Err() != nil {
 			return nil
 		}
+		if err == nil {
+			err = c.receive(p.transport, received, call)
+		}
 		p.lastCallTimedOut = timedOut(err)
 		if err != nil {
 			p.resetRevision(err)
 			c.reportFailure(err)
 			return err
 		}
-		c.apply(list, call)
-		p.revision = list.Revision
+		_ = began
+		p.revision = received.list.Revision
 		p.backoff = initialBackoff
 	}
 	return nil
@@ -93,31 +106,28 @@
 	}
 }
 
-// poll makes one call, or hedged calls if the last call timed out. It returns how the list was requested.
-func (p *poller) poll(ctx context.Context, t *transport) (List, callKind, error) {
-	c := p.client
+// poll makes one call, or hedged calls if the last call timed out. It also returns how the list was requested.
+func (p *poller) poll(ctx context.Context) (response, request, error) {
+	c, t := p.client, p.transport
 	if p.revision < 0 && p.lastCallTimedOut && !c.watchOnRequest {
-		list, err := c.hedgedPoll(ctx, t)
-		return list, callHedgedPoll, err
-	}
-	kind := callPoll
-	if p.revision >= 0 {
-		kind = callWatch
+		received, err := c.hedgedPoll(ctx, t)
+		return received, request{callHedgedPoll, noRevision}, err
 	}
-	list, err := c.call(t, p.revision, c.intervals.callTimeout)
-	watchLost := kind == callWatch && timedOut(err)
+	call := requestSince(p.revision)
+	received, err := c.call(t, p.revision, c.intervals.callTimeout)
+	watchLost := call.kind == callWatch && timedOut(err)
 	if !c.watchOnRequest || !watchLost {
-		return list, kind, err
+		return received, call, err
 	}
 	// After a watch has timed out, a change may have been pending since the watch began. The complete list is therefore requested
 	// without the balancer's backoff for failed calls, only spread over rewatchSpread.
 	p.revision = noRevision
 	c.sleep(ctx, rand.N(c.intervals.rewatchSpread+1))
 	if t != c.currentTransport() {
-		return list, kind, err
+		return received, call, err
 	}
-	list, err = c.call(t, p.revision, c.intervals.callTimeout)
-	return list, callPoll, err
+	received, err = c.call(t, p.revision, c.intervals.callTimeout)
+	return received, requestSince(noRevision), err
 }
 
 // waitBeforeRetry waits for the retry delay after a failed call, and increases the backoff for the next failure.
--- /dev/null
+++ b/internal/discovery/receive_test.go
@@ -0,0 +1,94 @@
+package discovery
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tackhub.example/tackhub/balancer"
+	"tackhub.example/tackhub/internal/counters"
+)
+
+// shortGrace is the drain grace of the clients in these tests. It makes hedged calls follow each other within 150 ms.
+const shortGrace = 300 * time.Millisecond
+
+const (
+	servingList  = `{"revision":41,"complete":true,"members":[{"id":"a","host_port":"1.1.1.1:1","phase":"SERVING"},{"id":"b","host_port":"1.1.1.1:2","phase":"SERVING"}]}`
+	drainingList = `{"revision":42,"complete":true,"members":[{"id":"a","host_port":"1.1.1.1:1","phase":"DRAINING"},{"id":"b","host_port":"1.1.1.1:2","phase":"SERVING"}]}`
+)
+
+// callScript answers the calls of a client. The calls are numbered from 1; since is empty if the complete list is requested. A call
+// for which it returns an empty body gets no response.
+type callScript func(number int, since string) (body string)
+
+// startScripted starts a discovery service that follows a script, and a client of it.
+func startScripted(t *testing.T, script callScript) *Client {
+	t.Helper()
+	client := New(Options{Address: serveScript(t, script), DrainGrace: shortGrace, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Count: &counters.Counters{}}, List{})
+	go client.Run(t.Context(), List{}, ignoreUpdates{})
+	return client
+}
+
+// serveScript starts a discovery service that follows a script, and returns its address.
+func serveScript(t *testing.T, script callScript) string {
+	t.Helper()
+	listener := listenTCP(t)
+	var calls atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := script(int(calls.Add(1)), r.URL.Query().Get("from"))
+		if body == "" {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = io.WriteString(w, body)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// expectOffered waits until exactly the given servers of a and b have an address.
+func expectOffered(t *testing.T, client *Client, within time.Duration, want string) {
+	t.Helper()
+	offered := ""
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		offered = ""
+		for _, id := range []balancer.ServerID{"a", "b"} {
+			if _, ok := client.Address(id); ok {
+				offered += string(id)
+			}
+		}
+		if offered == want {
+			return
+		}
+	}
+	t.Fatalf("servers with an address after %v = %q, want %q", within, offered, want)
+}
+
+// Changes of which one cannot be read are followed as far as they can be read, and the complete list is requested to settle the rest.
+// Else a server that the unreadable entry offers again stays withdrawn for good.
+func TestUnusableChangeIsSettledByCompleteList(t *testing.T) {
+	settled := make(chan struct{})
+	client := startScripted(t, func(number int, since string) string {
+		switch number {
+		case 1:
+			return servingList
+		case 2:
+			return `{"revision":42,"complete":false,"members":[{"id":"a","host_port":"1.1.1.1:1","phase":"DRAINING"},{"id":"b","host_port":"nowhere","phase":"SERVING"}]}`
+		case 3:
+			<-settled
+			if since != "" {
+				t.Errorf("call after an unusable change continues from revision %s, want the complete list", since)
+			}
+			return drainingList
+		}
+		return ""
+	})
+	expectOffered(t, client, 5*time.Second, "")
+	close(settled)
+	expectOffered(t, client, 5*time.Second, "b")
+}
--- a/internal/discovery/transport.go
+++ b/internal/discovery/transport.go
@@ -23,6 +23,10 @@
 	maxDialTimeout = 1500 * time.Millisecond
 )
 
+// abortDelay is how long an aborted transport keeps its connections open, so that a response which discovery has already written
+// is read. The protocol considers this node notified of it.
+const abortDelay = 50 * time.Millisecond
+
 // errAborted reports that the transport was aborted and opens no more connections.
 var errAborted = errors.New("transport aborted: discovery was switched to a new transport")
 
@@ -83,10 +87,16 @@
 	return registered, nil
 }
 
-// abort closes all connections, which makes the calls on them fail.
+// abort opens no more connections, and closes all of them after abortDelay, which makes the calls on them fail.
 func (t *transport) abort() {
 	t.mu.Lock()
 	t.aborted = true
+	t.mu.Unlock()
+	t.closeAll()
+}
+
+func (t *transport) closeAll() {
+	t.mu.Lock()
 	conns := make([]*trackedConn, 0, len(t.conns))
 	for conn := range t.conns {
 		conns = append(conns, conn)
