Request the complete list when discovery counts its revisions anew

What callers could see: a discovery that restarts answers a watch with changes up to a lower revision, perhaps none. The node went on from there and never learnt what had changed before: a server that had been drained or removed meanwhile kept its requests until its next change.

Cause: the revision of any answer became the next watch's start. Changes that end below the revision they were asked from are applied, and the complete list is requested (reason revision_back in the log and in list_rejected).

--- a/internal/discovery/applylist.go
+++ b/internal/discovery/applylist.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"time"
 
 	"tackhub.example/tackhub/balancer"
@@ -38,6 +39,10 @@
 	c.recordReceived(received)
 	list := received.list
 	switch {
+	case !list.Complete && list.Revision < requested.since:
+		// Discovery has begun to count again. The entries are in force, but others may have changed before them.
+		c.apply(t, list, requested.kind)
+		return incompleteError{failureRevisionBack, fmt.Errorf("changes since revision %d end at revision %d", requested.since, list.Revision)}
 	case !list.Complete && c.appliedFrom == t && list.Revision < c.Revision():
 		return nil // a late response to a hedged call was newer
 	}
--- a/internal/discovery/failurelog.go
+++ b/internal/discovery/failurelog.go
@@ -24,7 +24,8 @@
 	failureStatus     failureReason = "status"      // any other status but 200
 	failureNoList     failureReason = "no_list"     // the body is no endpoint list
 
-	failureEntry failureReason = "entry" // changes were applied, but one of them cannot be used
+	failureEntry        failureReason = "entry"         // changes were applied, but one of them cannot be used
+	failureRevisionBack failureReason = "revision_back" // changes were applied, but discovery has begun to count revisions again
 )
 
 // incompleteError reports that changes were applied, and that others may be missing.
--- a/internal/discovery/receive_test.go
+++ b/internal/discovery/receive_test.go
@@ -92,3 +92,20 @@
 	close(settled)
 	expectOffered(t, client, 5*time.Second, "b")
 }
+
+// Discovery restarts and counts its revisions from the start. A watch that it answers with changes up to a lower revision says nothing
+// of what changed before them: if the client goes on from there, it never learns of the drain in between.
+func TestLowerRevisionIsSettledByCompleteList(t *testing.T) {
+	client := startScripted(t, func(number int, since string) string {
+		switch {
+		case number == 1:
+			return servingList
+		case since == "41":
+			return `{"revision":3,"complete":false,"members":[]}`
+		case since == "":
+			return `{"revision":3,"complete":true,"members":[{"id":"b","host_port":"1.1.1.1:2","phase":"SERVING"}]}`
+		}
+		return ""
+	})
+	expectOffered(t, client, 5*time.Second, "b")
+}
