Apply a list that arrives while discovery's address changes

What callers could see: discovery writes a drain, SIGHUP names another address in that moment, and the new discovery is silent. The node had been told, and sent new work to the draining server until the new one answered.

Cause, in two places: SetAddress closed the connections at once, over bytes that had not been read; and the poll loop dropped a list that had been read if the address had changed by then.

--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -79,12 +79,12 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		received, call, err := p.poll(ctx)
-		if p.transport != c.currentTransport() || ctx.Err() != nil {
-			return nil
-		}
 		if err == nil {
 			err = c.receive(p.transport, received, call)
 		}
+		if p.transport != c.currentTransport() || ctx.Err() != nil {
+			return nil
+		}
 		p.lastCallTimedOut = timedOut(err)
 		if err != nil {
 			p.resetRevision(err)
--- a/internal/discovery/receive_test.go
+++ b/internal/discovery/receive_test.go
@@ -109,3 +109,26 @@
 	})
 	expectOffered(t, client, 5*time.Second, "b")
 }
+
+// The address of discovery changes while the response to a watch is on its way. The old discovery has notified the node of the change
+// by then, and the new one may not respond for seconds.
+func TestResponseDuringAddressChangeIsApplied(t *testing.T) {
+	watching, respond := make(chan struct{}), make(chan struct{})
+	client := startScripted(t, func(number int, _ string) string {
+		switch number {
+		case 1:
+			return servingList
+		case 2:
+			close(watching)
+			<-respond
+			return drainingList
+		}
+		return ""
+	})
+	silent := serveScript(t, func(int, string) string { return "" })
+	<-watching
+	expectOffered(t, client, 5*time.Second, "ab")
+	client.SetAddress(silent)
+	close(respond)
+	expectOffered(t, client, time.Second, "b")
+}
--- a/internal/discovery/transport.go
+++ b/internal/discovery/transport.go
@@ -92,7 +92,7 @@
 	t.mu.Lock()
 	t.aborted = true
 	t.mu.Unlock()
-	t.closeAll()
+	time.AfterFunc(abortDelay, t.closeAll)
 }
 
 func (t *transport) closeAll() {
