Apply a newer list that arrives after the first answer to hedged calls

What callers could see: after an outage a node has several calls out. The first answer ended the poll and the others were thrown away, also one that was written later and told of a drain. With discovery silent again the node stayed behind.

Cause: hedgedPoll kept one answer.

--- a/internal/discovery/hedge.go
+++ b/internal/discovery/hedge.go
@@ -48,6 +48,7 @@
 			inFlight--
 			final := r.err == nil || errors.As(r.err, new(rejectedError)) || t != c.currentTransport()
 			if final {
+				go c.receiveLate(t, results, inFlight)
 				return r.response, r.err
 			}
 			c.reportFailure(r.err)
--- a/internal/discovery/receive_test.go
+++ b/internal/discovery/receive_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -132,3 +133,24 @@
 	close(respond)
 	expectOffered(t, client, time.Second, "b")
 }
+
+// After an outage several calls are in flight. The response that arrives first may be older than one that is still on its way, and
+// discovery may be silent again afterwards.
+func TestLaterResponseToHedgedCallIsApplied(t *testing.T) {
+	answered := make(chan struct{})
+	var once sync.Once
+	client := startScripted(t, func(number int, since string) string {
+		switch {
+		case number == 2 && since == "": // the first hedged call, which is answered after the second one
+			<-answered
+			time.Sleep(50 * time.Millisecond)
+			return drainingList
+		case number == 3 && since == "":
+			defer once.Do(func() { close(answered) })
+			return servingList
+		}
+		return ""
+	})
+	<-answered
+	expectOffered(t, client, time.Second, "b")
+}
