Request the complete list at a new address after a rejected call too

What callers could see: discovery rejects a watch (429 or 503), SIGHUP names another address during the wait that follows, and the first call to the new service is a watch from the old one's revision. It may be held while a server drains, 4.4 s, beyond a short drain grace.

Cause: the change woke the wait, and the loop then took the new transport for the one it had been using; only a change during a call discarded the revision.

TestAddressChangeAfterRejectionRequestsCompleteList fails without it, 3 of 3, and passes with it.

--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -69,6 +69,7 @@
 		return
 	}
 	p.transport = t
+	p.revision = noRevision
 	p.backoff = initialBackoff
 }
 
--- a/internal/discovery/receive_test.go
+++ b/internal/discovery/receive_test.go
@@ -154,3 +154,39 @@
 	<-answered
 	expectOffered(t, client, time.Second, "b")
 }
+
+// The address of discovery changes while the client waits after a rejected watch. The new service counts its own revisions, so a watch
+// from the old one's may not be answered when a server drains.
+func TestAddressChangeAfterRejectionRequestsCompleteList(t *testing.T) {
+	rejected := make(chan struct{})
+	listener := listenTCP(t)
+	var calls atomic.Int64
+	old := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			_, _ = io.WriteString(w, servingList)
+			return
+		}
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		close(rejected)
+	})}
+	go func() { _ = old.Serve(listener) }()
+	t.Cleanup(func() { _ = old.Close() })
+	client := New(Options{Address: listener.Addr().String(), DrainGrace: shortGrace, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Count: &counters.Counters{}}, List{})
+	go client.Run(t.Context(), List{}, ignoreUpdates{})
+	<-rejected
+	time.Sleep(100 * time.Millisecond) // the client has read the rejection and waits
+	since := make(chan string, 16)
+	client.SetAddress(serveScript(t, func(_ int, from string) string {
+		since <- from
+		if from == "" {
+			return drainingList
+		}
+		return ""
+	}))
+	if from := <-since; from != "" {
+		t.Errorf("first call at the new address continues from revision %s, want the complete list", from)
+	}
+	expectOffered(t, client, time.Second, "b")
+}
