Check the withdrawal of a server where the first byte is written, in one function

What callers could see: a request or a probe that found an idle connection was written to it although the server had been withdrawn since the connection was chosen, at most the 8 ms of the pause between answer and request, or as long as the process stands still there. A connection that was dialed was looked at again; an idle one, a load probe and CoAP were not.

Cause: the check stood in the dialing of connections. engine.CheckOffered is now called right before the first byte of every request and probe, over HTTP and CoAP, and nowhere else; a connection to a server that is not offered any more is closed.

--- a/internal/coap/back/attempt.go
+++ b/internal/coap/back/attempt.go
@@ -78,7 +78,7 @@
 func (t *Transport) run(ctx context.Context, server balancer.ServerID, a *attempt) engine.Completion {
 	address, ok := t.options.Resolver.Address(server)
 	if !ok {
-		return engine.Completion{Outcome: balancer.Unreachable}
+		return t.notSent(engine.ErrWithdrawn)
 	}
 	conn, err := t.acquire(strings.TrimPrefix(address, Scheme))
 	if err != nil {
@@ -87,21 +87,29 @@
 		return engine.Completion{Outcome: outcome}
 	}
 	defer conn.release()
-	if err := a.request.CheckWritable(); err != nil {
-		t.options.Count.Outcomes.Inc(outcomeUnsent)
-		return engine.Completion{Outcome: balancer.NotSent, ClientDisconnected: errors.Is(err, engine.ErrClientDisconnected)}
-	}
 	request, body, err := convertRequest(a.request.Bytes)
 	if err != nil {
 		t.options.Log.Error("request cannot be converted to CoAP", "code", "coap_request", "error", err)
 		return engine.Completion{Outcome: balancer.NotSent}
 	}
+	if err := a.request.CheckWritable(); err != nil {
+		return t.notSent(err)
+	}
+	if err := engine.CheckOffered(t.options.Resolver, server, address); err != nil {
+		return t.notSent(err)
+	}
 	response, responseBody, err := conn.roundTrip(ctx, request, body, a)
 	completion := t.complete(response, responseBody, err, a)
 	t.options.Count.Outcomes.Inc(outcomeKeys[completion.Outcome])
 	return completion
 }
 
+// notSent counts and returns the completion of an attempt that sent nothing because of this node, its list or the client.
+func (t *Transport) notSent(reason error) engine.Completion {
+	t.options.Count.Outcomes.Inc(outcomeUnsent)
+	return engine.Completion{Outcome: balancer.NotSent, ClientDisconnected: errors.Is(reason, engine.ErrClientDisconnected)}
+}
+
 // acquireOutcome returns the outcome of an attempt or a probe that could not acquire a socket. A limit of this node or
 // a failure of its machine is not counted against the server.
 func acquireOutcome(err error) balancer.Outcome {
--- a/internal/coap/back/transport.go
+++ b/internal/coap/back/transport.go
@@ -22,16 +22,10 @@
 // idleTimeout is how long the socket to a server stays open without a request.
 const idleTimeout = time.Minute
 
-// Resolver returns the address of a server including its scheme; false if the server is unknown or must not receive
-// new requests.
-type Resolver interface {
-	Address(balancer.ServerID) (string, bool)
-}
-
 // Options configures a Transport.
 type Options struct {
-	Resolver     Resolver
-	MaxExchanges int // exchanges in flight to one server: NSTART of RFC 7252, 4.7
+	Resolver     engine.Resolver // its addresses include the scheme
+	MaxExchanges int             // exchanges in flight to one server: NSTART of RFC 7252, 4.7
 	// RetransmitWindow is how long after its first transmission a message may be retransmitted. A server that starts
 	// draining in the meantime must not receive the message after the drain grace has ended.
 	RetransmitWindow time.Duration
@@ -95,13 +89,16 @@
 func (t *Transport) ping(server balancer.ServerID, within time.Duration) balancer.Outcome {
 	address, ok := t.options.Resolver.Address(server)
 	if !ok {
-		return balancer.Unreachable
+		return balancer.NotSent
 	}
 	conn, err := t.acquire(strings.TrimPrefix(address, Scheme))
 	if err != nil {
 		return acquireOutcome(err)
 	}
 	defer conn.release()
+	if engine.CheckOffered(t.options.Resolver, server, address) != nil {
+		return balancer.NotSent
+	}
 	return conn.ping(within)
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -85,6 +85,12 @@
 		a.reportCompletion(notSent(err))
 		return
 	}
+	if err := engine.CheckOffered(a.pool.options.Resolver, a.server, c.addr); err != nil {
+		a.detach()
+		a.pool.close(c, closeAddressGone, nil)
+		a.reportCompletion(notSent(err))
+		return
+	}
 	a.roundTrip(c)
 }
 
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tackhub.example/tackhub/balancer"
+	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/internal/socket"
 )
 
@@ -59,7 +60,7 @@
 }
 
 // isLocalFailure reports whether an attempt failed before it sent anything, and not because of the server: this node reached a
-// connection limit, the failure was local to this machine, or the server no longer has an address.
+// connection limit, the failure was local to this machine, or the endpoint list no longer offers the server.
 func isLocalFailure(err error) bool {
-	return errors.Is(err, errNoCapacity) || errors.Is(err, errNoAddress) || socket.IsLocalFailure(err)
+	return errors.Is(err, errNoCapacity) || errors.Is(err, engine.ErrWithdrawn) || socket.IsLocalFailure(err)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,17 +13,13 @@
 
 	"tackhub.example/tackhub/balancer"
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/internal/faults"
 )
 
-// Resolver returns the current address of a server. It reports false for a server that was removed or is draining.
-type Resolver interface {
-	Address(balancer.ServerID) (string, bool)
-}
-
 // Options configure a Pool.
 type Options struct {
-	Resolver          Resolver
+	Resolver          engine.Resolver
 	ConnectTimeout    time.Duration // limit for establishing a connection
 	IdleTimeout       time.Duration // idle time after which servers close a connection; 0: unknown
 	ProbeTimeout      time.Duration // limit for a probe, including establishing a connection
@@ -53,13 +49,8 @@
 	processCount int                           // number of processes among which the limits are divided
 }
 
-var (
-	// errNoCapacity is returned if the limits allow no further connection.
-	errNoCapacity = errors.New("connection limit reached")
-
-	// errNoAddress is returned for a server that was removed, has moved or is draining.
-	errNoAddress = errors.New("server has no address: it was removed, has moved or is draining")
-)
+// errNoCapacity is returned if the limits allow no further connection.
+var errNoCapacity = errors.New("connection limit reached")
 
 // New returns an empty Pool.
 func New(o Options) *Pool {
@@ -90,7 +81,7 @@
 func (p *Pool) acquire(ctx context.Context, id balancer.ServerID) (*conn, error) {
 	addr, ok := p.options.Resolver.Address(id)
 	if !ok {
-		return nil, errNoAddress
+		return nil, engine.ErrWithdrawn
 	}
 	// The balancer already counts one idle connection fewer for this request, so OnIdleClosed must not be called for the first
 	// connection that is closed here, only for further ones.
@@ -98,7 +89,7 @@
 	for {
 		c := p.takeIdle(id)
 		if c == nil {
-			return p.connect(ctx, id, addr)
+			return p.dial(ctx, id, addr)
 		}
 		if !c.awaitReuseDelay(ctx) { // the context has ended; the connection was not used
 			p.putUnused(c)
@@ -114,20 +105,6 @@
 	}
 }
 
-// connect opens a connection. It closes the connection and returns errNoAddress if the server was removed, moved or started to
-// drain in the meantime, because a server's drain period starts when discovery reports it, not when a connection is established.
-func (p *Pool) connect(ctx context.Context, id balancer.ServerID, addr string) (*conn, error) {
-	c, err := p.dial(ctx, id, addr)
-	if err != nil {
-		return nil, err
-	}
-	if current, ok := p.options.Resolver.Address(id); !ok || current != addr {
-		p.close(c, closeAddressGone, nil)
-		return nil, errNoAddress
-	}
-	return c, nil
-}
-
 // takeIdle removes and returns the connection that became idle most recently among those whose reuseDelay has passed. If there
 // is no such connection, it takes the one that has been idle longest; if none is idle, it returns nil.
 func (p *Pool) takeIdle(id balancer.ServerID) *conn {
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -52,6 +52,10 @@
 	case err != nil:
 		return engine.Completion{Outcome: balancer.Unreachable}
 	}
+	if engine.CheckOffered(p.options.Resolver, server, c.addr) != nil {
+		p.close(c, closeAddressGone, nil)
+		return engine.Completion{Outcome: balancer.NotSent}
+	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	reason := closePanic // stays only if a panic skips the assignment below
