Ask discovery before a new process serves

What callers saw: a node that restarted while servers drained went on by its configuration's list, in a fleet of more than eight for up to half of the drain grace before its first call, and sent new work to servers of which the process before it had been told.

Cause: first calls were spread over up to half of the grace, and the node served from its start.

Change: the first call is made at once. In a large fleet it asks for the changes since the known list and is not held (hold_ms=0), so that its answer comes whether there is news or not. Clients are accepted once the answer is applied, or after 250 ms where discovery is silent. Where the list must be asked for (subscribe) nothing changes: there the balancer spreads the calls.

--- a/cmd/tackhub/withdrawal_test.go
+++ b/cmd/tackhub/withdrawal_test.go
@@ -83,6 +83,45 @@
 	expectNoRequests(t, successor, s1, s2)
 }
 
+// A server drains while a node restarts with a configuration that still lists it as serving. Discovery, which is an agent on the
+// node's machine, has been told: the new process must not send the server anything before it has asked.
+func TestRestartedNodeAsksDiscoveryBeforeItServes(t *testing.T) {
+	for _, nodes := range []int{1, 300} {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			drained, other := startBackend(t, "s1", respond(200, "one")), startBackend(t, "s2", respond(200, "two"))
+			d := startDiscoveryServer(t, members(drained, other))
+			entry := drained.member()
+			entry.Phase = "DRAINING"
+			d.announce(entry)
+			d.list = []member{entry, other.member()}
+			settings := strings.Replace(testSettings, `"fleet_size":1`, fmt.Sprintf(`"fleet_size":%d`, nodes), 1)
+			p := startNode(t, nodeOptions{discovery: d.addr, settings: settings, known: members(drained, other)})
+			for range requestsAfterWithdrawal {
+				p.mustDo(request("look", 1000))
+			}
+			if n := len(drained.requests()); n > 0 {
+				t.Errorf("the draining server got %d of %d requests, want 0", n, requestsAfterWithdrawal)
+			}
+		})
+	}
+}
+
+// A node starts while discovery is silent. It must not wait for the list for long: until discovery answers, the list of the
+// configuration is all there is.
+func TestNodeServesWhileDiscoveryIsSilent(t *testing.T) {
+	s := startBackend(t, "s1", respond(200, "one"))
+	d := startDiscoveryServer(t, nil)
+	d.silence()
+	began := time.Now()
+	p := startNode(t, nodeOptions{discovery: d.addr, known: members(s)})
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the node was ready after %v, want at most 2 s", took)
+	}
+	if resp := p.mustDo(request("look", 1000)); resp.status != 200 {
+		t.Errorf("got status %d, want 200 from the server of the configuration", resp.status)
+	}
+}
+
 // A member of a complete list cannot be used. If that voids the list, servers that the list drains or no longer names get requests
 // for as long as discovery repeats it.
 func TestListWithUnusableMemberWithdrawsServers(t *testing.T) {
--- a/internal/discovery/applylist.go
+++ b/internal/discovery/applylist.go
@@ -69,6 +69,9 @@
 // apply makes a received list the current one and publishes it. A delta without members is published only if the handler must be
 // notified that discovery responded: for the first response, or after the list was reported stale. The caller holds staleness.mu.
 func (c *Client) apply(t *transport, list List, kind callKind) {
+	if c.appliedFrom == nil {
+		defer close(c.responded)
+	}
 	c.appliedFrom = t
 	c.updateMembers(list) // before publishing, since the handler may need the address of a new server at once
 	s := &c.staleness
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -39,19 +39,32 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// call makes one request. If revision is 0 or more, the request is a watch: discovery holds it until the list has changed since
-// that revision, for at most intervals.watchHold, and timeout is not used. If revision is negative, the request is for the
-// complete list, and call waits for the response for at most timeout. The error wraps a rejectedError if discovery had no capacity.
-func (c *Client) call(t *transport, revision int64, timeout time.Duration) (response, error) {
+// poll requests the complete list and waits for it for at most timeout.
+func (c *Client) poll(t *transport, timeout time.Duration) (response, error) {
+	return t.get(membersPath, timeout)
+}
+
+// watch requests the changes since a revision. Discovery holds the call until there are some.
+func (c *Client) watch(t *transport, revision int64) (response, error) {
+	return t.get(watchPath(revision, c.intervals.watchHold), c.intervals.watchHold+c.intervals.watchTimeoutMargin)
+}
+
+// changesSince requests the changes since a revision without waiting for some.
+func (c *Client) changesSince(t *transport, revision int64) (response, error) {
+	return t.get(watchPath(revision, 0), c.intervals.callTimeout)
+}
+
+// watchPath returns the path of a request for the changes since a revision that discovery may hold for a time.
+func watchPath(revision int64, hold time.Duration) string {
+	return membersPath + "?from=" + strconv.FormatInt(revision, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
+}
+
+// get makes one request. The error wraps a rejectedError if discovery had no capacity.
+func (t *transport) get(path string, timeout time.Duration) (response, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	uri := "http://" + t.client.Addr + membersPath
-	if revision >= 0 {
-		hold := c.intervals.watchHold
-		uri += "?from=" + strconv.FormatInt(revision, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
-		timeout = hold + c.intervals.watchTimeoutMargin
-	}
+	uri := "http://" + t.client.Addr + path
 	req.SetRequestURI(uri)
 	if err := t.client.DoTimeout(req, resp, timeout); err != nil {
 		return response{}, fmt.Errorf("%s: %w", membersPath, err)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,7 @@
 	log            *slog.Logger
 	count          *counters.Counters
 	running        atomic.Bool
+	responded      chan struct{} // closed when the first response has been applied
 
 	staleness staleness
 
@@ -85,6 +87,7 @@
 		addressChanged: make(chan struct{}, 1),
 		log:            o.Log,
 		count:          o.Count,
+		responded:      make(chan struct{}),
 		members:        map[balancer.ServerID]Member{},
 		transport:      newTransport(o.Address, dial),
 	}
@@ -130,6 +133,21 @@
 	return list
 }
 
+// AwaitFirstResponse waits until discovery's first response has been applied, for at most firstResponseTimeout. With
+// Options.WatchOnRequest it does not wait, since the balancer spreads the first calls of the fleet over a longer time.
+func (c *Client) AwaitFirstResponse(ctx context.Context) {
+	if c.watchOnRequest {
+		return
+	}
+	timer := time.NewTimer(firstResponseTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.responded:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // WatchEndpoints starts following the list if Options.WatchOnRequest is set. It does not block.
 func (c *Client) WatchEndpoints() {
 	select {
--- a/internal/discovery/hedge.go
+++ b/internal/discovery/hedge.go
@@ -39,7 +39,7 @@
 			if inFlight < maxHedgedCalls {
 				inFlight++
 				go func() {
-					received, err := c.call(t, noRevision, timeout)
+					received, err := c.poll(t, timeout)
 					results <- hedgedResult{received, err}
 				}()
 			}
--- a/internal/discovery/intervals.go
+++ b/internal/discovery/intervals.go
@@ -30,6 +30,11 @@
 	callTimeoutManyNodes = 2500 * time.Millisecond
 )
 
+// firstResponseTimeout is how long a new process waits for discovery's first response before it serves. Discovery, an agent on the
+// node's machine, has been notified of changes while the process before this one ran, and the drain grace of a server does not start
+// again with the new process. An agent that is silent delays the start by this time.
+const firstResponseTimeout = 250 * time.Millisecond
+
 // minWatchInterval is the shortest time between two watches of which the first brought no news, so that a discovery service which
 // does not hold watches is not called without a pause. The protocol takes a watch for ended 200 ms after its response.
 const minWatchInterval = 50 * time.Millisecond
@@ -65,11 +70,6 @@
 	// the rate of calls drops.
 	fleetCallPeriodPerNode = 100 * time.Millisecond
 
-	// firstCallGraceFraction is the longest time over which first calls are spread, as a fraction of the drain grace. As soon as a
-	// node starts, the protocol considers it notified of all changes since its cached list. The rest of the grace is for the
-	// response.
-	firstCallGraceFraction = 0.5
-
 	// rewatchSpreadPerNode is the time per other node over which nodes that watch on request spread the call that follows a lost
 	// watch. The watches of all nodes are lost together, so their next calls would otherwise arrive together.
 	rewatchSpreadPerNode = 25 * time.Millisecond
@@ -80,10 +80,10 @@
 
 // intervals holds the timeouts and delays that determine how soon this node receives a change.
 type intervals struct {
+	largeFleet         bool
 	watchHold          time.Duration // how long discovery may hold a watch while nothing changes
 	watchTimeoutMargin time.Duration // added to watchHold for the timeout of a watch
 	callTimeout        time.Duration // timeout of any other call
-	firstCallSpread    time.Duration // time over which nodes spread their first calls; 0: no spreading
 	fleetCallPeriod    time.Duration // period in which all nodes can call once without overloading discovery; 0: small fleet
 	rewatchSpread      time.Duration // time over which nodes that watch on request spread the calls after a lost watch
 	maxRejectedBackoff time.Duration // longest backoff after a rejected call, without jitter
@@ -96,6 +96,7 @@
 func intervalsFor(o Options) intervals {
 	largeFleet := o.Nodes > fewNodes
 	iv := intervals{
+		largeFleet:         largeFleet,
 		watchTimeoutMargin: watchTimeoutMargin,
 		callTimeout:        callTimeoutFewNodes,
 		maxRejectedBackoff: maxBackoffFewNodes,
@@ -103,7 +104,6 @@
 	if largeFleet {
 		iv.callTimeout = callTimeoutManyNodes
 		iv.fleetCallPeriod = time.Duration(o.Nodes) * fleetCallPeriodPerNode
-		iv.firstCallSpread = min(iv.fleetCallPeriod, fractionOf(o.DrainGrace, firstCallGraceFraction))
 	}
 	iv.maxRetryDelay = notifyDeadline - responseReserve - iv.callTimeout
 	if largeFleet {
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -17,6 +17,7 @@
 	client           *Client
 	transport        *transport    // to the discovery service to which revision belongs
 	revision         int64         // from which the next call continues; negative: it requests the complete list
+	starting         bool          // the next call only asks what has changed since the cached list
 	backoff          time.Duration // delay after the next failed call, without jitter
 	lastCallTimedOut bool          // the last call got no response or no connection in time
 }
@@ -30,11 +31,9 @@
 	// The list is published even if it is empty, because the balancer needs it as its first event. With Options.WatchOnRequest
 	// the balancer calls WatchEndpoints only after this event.
 	c.publish(cached, balancer.CachedUpdate)
-	if spread := c.intervals.firstCallSpread; spread > 0 {
-		if len(cached.Members) > 0 { // a restarted node needs only the changes since its cached list, which costs discovery less
-			p.revision = cached.Revision
-		}
-		c.sleep(ctx, rand.N(spread))
+	if c.intervals.largeFleet && len(cached.Members) > 0 { // the changes since the cached list cost discovery less than the complete list
+		p.revision = cached.Revision
+		p.starting = true
 	}
 	p.run(ctx)
 }
@@ -117,7 +116,7 @@
 		return received, request{callHedgedPoll, noRevision}, err
 	}
 	call := requestSince(p.revision)
-	received, err := c.call(t, p.revision, c.intervals.callTimeout)
+	received, err := p.call()
 	watchLost := call.kind == callWatch && timedOut(err)
 	if !c.watchOnRequest || !watchLost {
 		return received, call, err
@@ -129,10 +128,24 @@
 	if t != c.currentTransport() {
 		return received, call, err
 	}
-	received, err = c.call(t, p.revision, c.intervals.callTimeout)
+	received, err = c.poll(t, c.intervals.callTimeout)
 	return received, requestSince(noRevision), err
 }
 
+// call makes the next call if it is not hedged.
+func (p *poller) call() (response, error) {
+	c, t := p.client, p.transport
+	starting := p.starting
+	p.starting = false
+	switch {
+	case p.revision < 0:
+		return c.poll(t, c.intervals.callTimeout)
+	case starting:
+		return c.changesSince(t, p.revision)
+	}
+	return c.watch(t, p.revision)
+}
+
 // waitBeforeRetry waits for the retry delay after a failed call, and increases the backoff for the next failure.
 func (p *poller) waitBeforeRetry(ctx context.Context, err error) {
 	c := p.client
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -53,6 +53,7 @@
 	go n.stopOnSignals(signals.stop, acquired.listener, log)
 	go n.reportOnSignal(ctx, signals.report, log)
 	go n.reloadOnSignal(ctx, signals.reload, running, operatorFile, log)
+	n.discovery.AwaitFirstResponse(ctx)
 	n.upgrade.serve(ctx, c.Listen, id, acquired.listener)
 	n.serving.Store(true)
 	err = n.ingress.Serve(acquired.listener)
