Inventory: let discovery's first changes continue the list the process started with

What operators would see: a node of a large fleet with [inventory] restarts with a list in which a server drains, discovery's first answer says that it is back, and the server gets no requests until a complete list comes, which may be never.

Cause: the first answer of such a node is a list of changes, which did not count as discovery's report, so the restored entries stood beside it; and a server drains if any source drains it. The restored entries that come from the source are now its list, and the changes continue it.

--- a/internal/endpointmerge/source.go
+++ b/internal/endpointmerge/source.go
@@ -83,6 +83,9 @@
 		return
 	}
 	s.revision = e.Revision
+	if !s.reported {
+		v.adoptRestored(e.Source)
+	}
 	for _, server := range e.Updated {
 		s.update(server, v.now)
 		v.tombstones.remove(e.Source, server.ID)
@@ -95,6 +98,23 @@
 	}
 }
 
+// adoptRestored makes the servers of the restored list that come from a source the list of that source, since the changes that it
+// reports first continue that list. A restored entry would otherwise go on beside the changed one, and drain a server that is back in
+// service.
+func (v *View) adoptRestored(name string) {
+	s, restored := v.sources[name], v.sources[SourceRestored]
+	for id, origins := range v.restoredOrigins {
+		if !slices.Contains(origins, name) || !restored.lists(id) {
+			continue
+		}
+		s.update(restored.servers[id], v.now)
+		s.reported = true
+		if len(origins) == 1 {
+			delete(restored.servers, id)
+		}
+	}
+}
+
 // removeRestored removes the servers of the restored list that come from a source, unless the source's first list names them.
 func (v *View) removeRestored(name string, changed idSet) {
 	if name == SourceRestored {
--- a/internal/endpointmerge/source_test.go
+++ b/internal/endpointmerge/source_test.go
@@ -49,3 +49,19 @@
 		t.Errorf("members after discovery's empty list = %+v, want the file's server b alone", members)
 	}
 }
+
+// A node starts with a list in which a server drains, and the first that discovery says is that the server is back in service. If the
+// restored entry counted beside the changed one, the server would drain until a complete list came.
+func TestChangeReplacesRestoredEntryOfItsSource(t *testing.T) {
+	v := New(Settings{Sources: []string{"file", "discovery"}, TombstoneTTL: 600_000})
+	v.Step(1, Snapshot{Source: SourceRestored, Servers: []inventory.Server{{ID: "a", Address: "10.0.0.1:80", Phase: inventory.Draining}, {ID: "b", Address: "10.0.0.2:80"}},
+		Origins: map[string][]string{"a": {"discovery"}, "b": {"discovery"}}})
+	v.Step(2, Delta{Source: "discovery", Revision: "2", Updated: []inventory.Server{{ID: "a", Address: "10.0.0.1:80", Phase: inventory.Serving}}})
+	members := v.Members()
+	if len(members) != 2 || members[0].Phase != inventory.Serving {
+		t.Errorf("members after a is back = %+v, want a and b in service", members)
+	}
+	if pending := v.PendingSources(); len(pending) != 1 || pending[0] != "file" {
+		t.Errorf("sources without a report = %v, want the file alone", pending)
+	}
+}
