Lab: discovery answers in every form that the protocol allows, judged by the earliest clock

A service that restarts counts its revisions anew.

The auditor takes a node for told when its agent has the change (unless the agent is down, answers nonsense or lies behind an impaired link: then when it is written), counts a withdrawal from its first news, not from the latest repetition, and no longer frees what a process does after an outage: it counts as told at the end of it.

--- a/lab/audit/audit_test.go
+++ b/lab/audit/audit_test.go
@@ -61,6 +61,16 @@
 		{"sent after the drain grace", RuleDrain, func(r *Record) {
 			r.ListUpdates = []ListUpdate{{Node: 1, Server: "s1", Withdrawn: true, At: 75*ms - 1556*ms}}
 		}},
+		{"sent after the grace of a drain whose news is repeated", RuleDrain, func(r *Record) {
+			r.ListUpdates = []ListUpdate{{Node: 1, Server: "s1", Withdrawn: true, At: 75*ms - 1556*ms}, {Node: 1, Server: "s1", Withdrawn: true, At: 0}}
+		}},
+		{"sent after the grace by the process that follows a killed one", RuleDrain, func(r *Record) {
+			r.ListUpdates = []ListUpdate{{Node: 1, Server: "s1", Withdrawn: true, At: -9000 * ms}}
+			r.Outages = []Outage{{Node: 1, From: -9500 * ms, To: 75*ms - 1556*ms}}
+		}},
+		{"sent after the grace although another server came back", RuleDrain, func(r *Record) {
+			r.ListUpdates = []ListUpdate{{Node: 1, Server: "s1", Withdrawn: true, At: 75*ms - 1556*ms}, {Node: 1, Server: "s2", At: 0}, {Node: 0, Server: "s1", At: 0}}
+		}},
 		{"request forwarded although its connection closed", RuleUnanswered, func(r *Record) { r.Attempts[3].Outcome = RacedClose }},
 		{"sent after the client cancelled", RuleSentAfterCancel, func(r *Record) {
 			r.Attempts[3].Outcome, r.Attempts[3].Ended = Cancelled, 75*ms-101*ms
@@ -91,6 +101,14 @@
 		"sent within the drain grace": func(r *Record) {
 			r.ListUpdates = append(r.ListUpdates, ListUpdate{Node: 1, Server: "s1", Withdrawn: true, At: 75*ms - 1400*ms})
 		},
+		"sent within the grace after an outage in which the drain began": func(r *Record) {
+			r.ListUpdates = []ListUpdate{{Node: 1, Server: "s1", Withdrawn: true, At: -9000 * ms}}
+			r.Outages = []Outage{{Node: 1, From: -9500 * ms, To: 75*ms - 1400*ms}}
+		},
+		"drain revoked, then withdrawn again": func(r *Record) {
+			r.ListUpdates = []ListUpdate{{Node: 1, Server: "s1", Withdrawn: true, At: -9000 * ms}, {Node: 1, Server: "s1", At: -1500 * ms},
+				{Node: 1, Server: "s1", Withdrawn: true, At: 75*ms - 1400*ms}}
+		},
 		"drain revoked": func(r *Record) {
 			r.ListUpdates = []ListUpdate{{Node: 1, Server: "s1", Withdrawn: true, At: -9000 * ms}, {Node: 1, Server: "s1", At: -5 * ms}}
 		},
--- a/lab/audit/rules.go
+++ b/lab/audit/rules.go
@@ -204,20 +204,43 @@
 		sort.SliceStable(list, func(a, b int) bool { return list[a].At < list[b].At })
 	}
 	for _, receipt := range a.record.Receipts {
-		var lastUpdate *ListUpdate
-		for i, update := range updates[key{receipt.Node, receipt.Server}] {
-			if update.At <= receipt.At {
-				lastUpdate = &updates[key{receipt.Node, receipt.Server}][i]
-			}
-		}
-		if lastUpdate == nil || !lastUpdate.Withdrawn {
+		withdrawnAt, withdrawn := withdrawnSince(updates[key{receipt.Node, receipt.Server}], receipt.At)
+		if !withdrawn {
 			continue
 		}
-		latest := lastUpdate.At + a.limits.DrainGrace + a.limits.ResponseSlack + a.limits.LinkDelay
-		latest += a.pausedFor(receipt.Node, lastUpdate.At, receipt.At) + a.stalledFor(receipt.Server, lastUpdate.At, receipt.At)
-		if receipt.At > latest && !a.hadOutage(receipt.Node, lastUpdate.At, receipt.At) {
+		toldAt := a.notifiedAfterOutages(receipt.Node, withdrawnAt, receipt.At)
+		latest := toldAt + a.limits.DrainGrace + a.limits.ResponseSlack + a.limits.LinkDelay
+		latest += a.pausedFor(receipt.Node, toldAt, receipt.At) + a.stalledFor(receipt.Server, toldAt, receipt.At)
+		if receipt.At > latest {
 			a.breach(RuleDrain, receipt.At, "%s reached %s from node %d %v after the notification of its drain", receipt.ID, receipt.Server,
-				receipt.Node, receipt.At-lastUpdate.At)
+				receipt.Node, receipt.At-withdrawnAt)
+		}
+	}
+}
+
+// withdrawnSince returns when a server was withdrawn that is withdrawn at a given time: the time of the first update that withdrew it
+// and was not followed by one that put it into service. Later updates may repeat the withdrawal. The updates are ordered by time.
+func withdrawnSince(updates []ListUpdate, at Offset) (since Offset, withdrawn bool) {
+	for _, update := range updates {
+		if update.At > at {
+			break
+		}
+		if update.Withdrawn && !withdrawn {
+			since = update.At
+		}
+		withdrawn = update.Withdrawn
+	}
+	return since, withdrawn
+}
+
+// notifiedAfterOutages returns when a node counts as notified of a change at a time, as seen at a later one: at once, or at the end of
+// the last outage in between. The process that starts then is notified of what happened during the outage.
+func (a *auditor) notifiedAfterOutages(node int, changedAt, seenAt Offset) Offset {
+	notifiedAt := changedAt
+	for _, outage := range a.record.Outages {
+		if outage.Node == node && outage.From <= seenAt && outage.To >= changedAt {
+			notifiedAt = max(notifiedAt, outage.To)
 		}
 	}
+	return notifiedAt
 }
--- a/lab/backend/discovery.go
+++ b/lab/backend/discovery.go
@@ -1,15 +1,15 @@
 package backend
 
 import (
-	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"tackhub.example/tackhub/lab/audit"
+	"tackhub.example/tackhub/lab/catalog"
 	"tackhub.example/tackhub/lab/netfault"
 	"tackhub.example/tackhub/lab/scenario"
 )
@@ -23,24 +23,37 @@
 	server   *http.Server
 
 	mu         sync.Mutex
-	revision   int64
-	list       []Member
-	changes    []change           // all since the start; a watch from an older revision gets the later ones
+	catalog    *catalog.Catalog
+	rng        *rand.Rand
 	changed    chan struct{}      // closed and replaced at each change
 	down       bool               // polls get no response
 	invalid    bool               // polls are answered with invalid JSON
 	extraDelay time.Duration      // added to the delay of changes while discovery is stale
-	updates    []audit.ListUpdate // list entries that were sent to the node
-	pending    []Member           // changes that have not reached this discovery server yet
-	lastDue    time.Time          // when the last pending change is due
+	updates    []audit.ListUpdate // changes of which the node counts as notified
+	untold     []Member           // changes that reached this discovery server while the node could not be notified
+	pending    []pendingChange    // changes that have not reached this discovery server yet
 }
 
-// change is a changed list entry and the revision that it created.
-type change struct {
-	revision int64
-	member   Member
+// pendingChange is a changed list entry on its way to a discovery server.
+type pendingChange struct {
+	due    time.Time
+	member Member
 }
 
+const (
+	// restartProbability is the probability that discovery, when it is back after an outage, counts its revisions anew.
+	restartProbability = 0.3
+
+	// shortWatchProbability is the probability that a watch ends early without news.
+	shortWatchProbability = 0.1
+
+	// firstRevision is the revision of a discovery server's list at its start.
+	firstRevision = 1 << 20
+
+	// maxRevisionSpread is how long after each other changes may be due that create one revision.
+	maxRevisionSpread = 2 * time.Millisecond
+)
+
 // maxWatchTime is the longest time for which the protocol allows a watch to wait for a change.
 const maxWatchTime = 60 * time.Second
 
@@ -51,9 +64,11 @@
 		return nil, err
 	}
 	up, down := Impairments(f.scenario.Links.Discovery)
-	d := &DiscoveryServer{fleet: f, node: node, listener: l, revision: 1, list: f.members(node), changed: make(chan struct{})}
+	seed := f.scenario.Seed + uint64(node)
+	d := &DiscoveryServer{fleet: f, node: node, listener: l, catalog: catalog.New(firstRevision, f.members(node), seed),
+		rng: rand.New(rand.NewPCG(seed, 0xd15c)), changed: make(chan struct{})}
 	if !up.Clean() || !down.Clean() {
-		d.listener = linkedListener{l, netfault.NewLink(down, up, f.scenario.Seed+uint64(node))}
+		d.listener = linkedListener{l, netfault.NewLink(down, up, seed)}
 	}
 	d.server = &http.Server{Handler: d, ReadHeaderTimeout: time.Minute}
 	go func() { _ = d.server.Serve(d.listener) }()
@@ -94,43 +109,45 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	due := time.Now().Add(d.fleet.scenario.Nodes.DiscoveryDelay + d.extraDelay)
-	if due.Before(d.lastDue) {
-		due = d.lastDue
+	if last := len(d.pending) - 1; last >= 0 && due.Before(d.pending[last].due) {
+		due = d.pending[last].due
 	}
-	d.lastDue = due
-	d.pending = append(d.pending, m)
-	time.AfterFunc(time.Until(due), d.applyNext)
+	d.pending = append(d.pending, pendingChange{due, m})
+	time.AfterFunc(time.Until(due), d.applyDue)
 }
 
-// applyNext applies the oldest pending change. Timers that are due at the same time may fire in any order, so a timer is
-// not bound to a particular change.
-func (d *DiscoveryServer) applyNext() {
+// applyDue applies the pending changes that are due. Changes that are due together create one revision.
+func (d *DiscoveryServer) applyDue() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	m := d.pending[0]
-	d.pending = d.pending[1:]
-	d.revision++
-	d.changes = append(d.changes, change{d.revision, m})
-	index := -1
-	for i := range d.list {
-		sameAddress := m.HostPort != "" && d.list[i].HostPort == m.HostPort
-		if d.list[i].ID == m.ID || sameAddress {
-			index = i
-		}
+	latest := time.Now().Add(maxRevisionSpread)
+	var due []Member
+	for len(d.pending) > 0 && !d.pending[0].due.After(latest) {
+		due = append(due, d.pending[0].member)
+		d.pending = d.pending[1:]
 	}
-	switch {
-	case m.Phase == phaseGone && index >= 0:
-		d.list = append(d.list[:index:index], d.list[index+1:]...)
-	case m.Phase == phaseGone:
-	case index >= 0:
-		if replaced := d.list[index]; replaced.ID != m.ID { // another process took over the address, so the old one no longer exists
-			replaced.Phase = phaseGone
-			d.changes = append(d.changes, change{d.revision, replaced})
-		}
-		d.list[index] = m
-	default:
-		d.list = append(d.list, m)
+	if len(due) == 0 {
+		return // applied by the timer of an earlier change
 	}
+	d.catalog.Apply(due...)
+	d.untold = append(d.untold, due...)
+	d.tell()
+	d.wakeWatches()
+}
+
+// tell records that the node counts as notified of the changes that have reached this discovery server, which is an agent on the
+// node's machine: the protocol considers the node notified of what the agent has, whether or not it has asked. An agent behind an
+// impaired link, or one that does not answer, notifies the node only when it writes a response.
+func (d *DiscoveryServer) tell() {
+	_, impaired := d.listener.(linkedListener)
+	if impaired || d.down || d.invalid {
+		return
+	}
+	d.recordNotified(d.untold)
+	d.untold = nil
+}
+
+func (d *DiscoveryServer) wakeWatches() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -142,6 +159,9 @@
 	switch e.Kind {
 	case scenario.FaultDiscoveryDown:
 		d.down = !e.Ends
+		if e.Ends && d.rng.Float64() < restartProbability {
+			d.catalog.Restart()
+		}
 	case scenario.FaultDiscoveryWrong:
 		d.invalid = !e.Ends
 	case scenario.FaultDiscoveryStale:
@@ -150,8 +170,8 @@
 			d.extraDelay = 0
 		}
 	}
-	close(d.changed)
-	d.changed = make(chan struct{})
+	d.tell()
+	d.wakeWatches()
 	return nil
 }
 
@@ -161,7 +181,7 @@
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	watch := err == nil
 	holdMillis, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
-	holdTimer := time.NewTimer(min(time.Duration(holdMillis)*time.Millisecond, maxWatchTime))
+	holdTimer := time.NewTimer(d.holdTime(time.Duration(holdMillis) * time.Millisecond))
 	defer holdTimer.Stop()
 	for expired := false; ; {
 		d.mu.Lock()
@@ -171,16 +191,16 @@
 			_, _ = w.Write([]byte(`{"revision":3,"complete":true,"members":[{"id":"","host_port":`))
 			return
 		}
-		if !d.down && (!watch || from != d.revision || expired) {
-			body, announced := d.response(from, watch)
-			d.mu.Unlock()
-			if _, err := w.Write(body); err != nil {
-				return
+		if !d.down && (!watch || from != d.catalog.Revision() || expired) {
+			answer := d.catalog.Poll()
+			if watch {
+				answer = d.catalog.Watch(from)
 			}
-			if f, ok := w.(http.Flusher); ok {
-				f.Flush()
+			d.recordNotified(inService(answer.Notified, true))
+			d.mu.Unlock()
+			if answer.Write(w) == nil {
+				d.recordSent(inService(answer.Notified, false))
 			}
-			d.recordSent(announced)
 			return
 		}
 		d.mu.Unlock()
@@ -194,47 +214,23 @@
 	}
 }
 
-// response returns the response body for a poll or watch, and the entries of which this response notifies the node. A
-// watch gets the changes since revision from if that revision is known. The caller holds d.mu.
-func (d *DiscoveryServer) response(from int64, watch bool) ([]byte, []Member) {
-	out := struct {
-		Revision int64    `json:"revision"`
-		Complete bool     `json:"complete"`
-		Members  []Member `json:"members"`
-	}{Revision: d.revision, Complete: !watch || from > d.revision || from < 1, Members: []Member{}}
-	if out.Complete {
-		out.Members = append(out.Members, d.list...)
-	} else {
-		indexByID := map[string]int{} // index in out.Members by server ID; only the latest entry of a server is sent
-		for _, c := range d.changes {
-			if c.revision <= from {
-				continue
-			}
-			if i, ok := indexByID[c.member.ID]; ok {
-				out.Members[i] = c.member
-				continue
-			}
-			indexByID[c.member.ID] = len(out.Members)
-			out.Members = append(out.Members, c.member)
-		}
-	}
-	body, err := json.Marshal(out)
-	if err != nil {
-		return []byte("{}"), nil // unreachable: numbers and strings always encode
-	}
-	if out.Complete { // a server that is missing from a complete list counts as removed
-		return body, append(out.Members, d.removed()...)
+// holdTime returns how long a watch is held. A watch may end early without news.
+func (d *DiscoveryServer) holdTime(requested time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	hold := min(requested, maxWatchTime)
+	if d.rng.Float64() < shortWatchProbability {
+		hold = time.Duration(d.rng.Float64() * float64(hold))
 	}
-	return body, out.Members
+	return hold
 }
 
-// removed returns the servers that were once listed and no longer are. The caller holds d.mu.
-func (d *DiscoveryServer) removed() []Member {
+// inService returns the members that are in service, or those that are not. An answer counts as notification of a server's return when
+// it is composed, and as that of a withdrawal when it has been written: a change in between must not be hidden by the older answer.
+func inService(members []Member, serving bool) []Member {
 	var out []Member
-	for _, c := range d.changes {
-		if !slices.ContainsFunc(d.list, func(m Member) bool { return m.ID == c.member.ID }) {
-			m := c.member
-			m.Phase = phaseGone
+	for _, m := range members {
+		if (m.Phase == phaseServing) == serving {
 			out = append(out, m)
 		}
 	}
@@ -245,7 +241,12 @@
 func (d *DiscoveryServer) recordSent(announced []Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, m := range announced {
+	d.recordNotified(announced)
+}
+
+// recordNotified records that the node counts as notified of the given entries from now on. The caller holds d.mu.
+func (d *DiscoveryServer) recordNotified(members []Member) {
+	for _, m := range members {
 		d.updates = append(d.updates, audit.ListUpdate{
 			Node:      d.node,
 			Server:    m.ID,
@@ -266,19 +267,10 @@
 
 // Phases of a list entry.
 const (
-	phaseServing  = "SERVING"
-	phaseDraining = "DRAINING"
-	phaseGone     = "DELETED"
+	phaseServing  = catalog.PhaseServing
+	phaseDraining = catalog.PhaseDraining
+	phaseGone     = catalog.PhaseDeleted
 )
 
 // Member is one entry of the discovery list as encoded in JSON.
-type Member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
-}
+type Member = catalog.Member
