Soak whole fleets and zones that the list withdraws and has back

The fault unlist is new in scenarios: a server that the list no longer names is gone, also where it still answers.

--- a/cmd/tacklab/soak.go
+++ b/cmd/tacklab/soak.go
@@ -16,18 +16,19 @@
 
 // soakCmd runs plans generated from seeds, with planned stops of nodes and with faults.
 type soakCmd struct {
-	Seed     uint64        `default:"1" help:"Seed of the first run."`
-	Runs     int           `default:"1" help:"Runs, each with the next seed."`
-	Nodes    int           `help:"Nodes in each run; drawn from the seed without it."`
-	Duration time.Duration `default:"10s" help:"Of each run; ten seconds at the least."`
-	Kind     string        `help:"Kind of the nodes, as in a scenario: tackhub, or a baseline that is to be caught."`
-	Quiet    bool          `help:"No faults and no planned stops: a run that must be clean."`
-	Plan     string        `help:"Replay the plan in this file instead." type:"existingfile"`
-	Print    bool          `help:"Print the plans and play nothing."`
-	Shrink   bool          `help:"Make the first plan that breaks smaller, and print what is left."`
-	Faults   bool          `help:"Build the nodes so that accept and connect fail at times, with every error that Linux documents."`
-	Program  string        `help:"The tackhub to run. Without it: the one beside tacklab, or a fresh build." type:"path"`
-	Logs     string        `help:"Keep the nodes' configurations and logs in this folder." type:"path"`
+	Seed        uint64        `default:"1" help:"Seed of the first run."`
+	Runs        int           `default:"1" help:"Runs, each with the next seed."`
+	Nodes       int           `help:"Nodes in each run; drawn from the seed without it."`
+	Duration    time.Duration `default:"10s" help:"Of each run; ten seconds at the least."`
+	Kind        string        `help:"Kind of the nodes, as in a scenario: tackhub, or a baseline that is to be caught."`
+	Quiet       bool          `help:"No faults and no planned stops: a run that must be clean."`
+	Withdrawals bool          `help:"Let the list withdraw all servers, or those of a zone, several times in a run, and have them back."`
+	Plan        string        `help:"Replay the plan in this file instead." type:"existingfile"`
+	Print       bool          `help:"Print the plans and play nothing."`
+	Shrink      bool          `help:"Make the first plan that breaks smaller, and print what is left."`
+	Faults      bool          `help:"Build the nodes so that accept and connect fail at times, with every error that Linux documents."`
+	Program     string        `help:"The tackhub to run. Without it: the one beside tacklab, or a fresh build." type:"path"`
+	Logs        string        `help:"Keep the nodes' configurations and logs in this folder." type:"path"`
 }
 
 // Run runs all plans and prints the figures of each and of all together.
@@ -91,7 +92,7 @@
 	}
 	var generated []*scenario.Scenario
 	for i := range max(1, c.Runs) {
-		text, err := soak.PlanText(soak.Plan(soak.Options{Seed: c.Seed + uint64(i), Nodes: c.Nodes, Duration: c.Duration, Quiet: c.Quiet, Kind: c.Kind}))
+		text, err := soak.PlanText(soak.Plan(soak.Options{Seed: c.Seed + uint64(i), Nodes: c.Nodes, Duration: c.Duration, Quiet: c.Quiet, Kind: c.Kind, Withdrawals: c.Withdrawals}))
 		if err != nil {
 			return nil, err
 		}
--- a/lab/backend/faults.go
+++ b/lab/backend/faults.go
@@ -25,6 +25,8 @@
 			return s.restart(e.Fault.NewID)
 		}
 		s.drain()
+	case scenario.FaultUnlist:
+		s.setListed(e.Ends)
 	case scenario.FaultServersStall:
 		s.fleet.recordStall(s.name(), e.Ends)
 		for _, l := range s.fleet.links[s.index] { // the server's side is wrapped, so In is towards the server
@@ -120,6 +122,25 @@
 	return nil
 }
 
+// setListed removes a running server from the list, or adds it again. The process goes on: by the protocol a server that a complete
+// list does not name is gone, also where it still answers.
+func (s *Server) setListed(listed bool) {
+	s.mu.Lock()
+	running := len(s.listeners) > 0
+	switch {
+	case listed && running && s.phase == phaseGone:
+		s.phase = phaseServing
+	case !listed && running && s.phase == phaseServing:
+		s.phase = phaseGone
+	default:
+		running = false
+	}
+	s.mu.Unlock()
+	if running {
+		s.fleet.announce(s)
+	}
+}
+
 // drain lists the server as draining. From then on it rejects new requests and completes the ones in flight.
 func (s *Server) drain() {
 	s.mu.Lock()
--- a/lab/scenario/faultkind.go
+++ b/lab/scenario/faultkind.go
@@ -13,6 +13,7 @@
 	FaultSlow         FaultKind = "slow"
 	FaultErrors       FaultKind = "errors"
 	FaultDrain        FaultKind = "drain"
+	FaultUnlist       FaultKind = "unlist" // the list withdraws the server, which goes on serving
 	FaultColdReturn   FaultKind = "cold-return"
 	FaultServersStall FaultKind = "servers-stall"
 	FaultServersReset FaultKind = "servers-reset"
@@ -53,7 +54,7 @@
 
 // FaultKinds are all kinds that a scenario can use.
 var FaultKinds = []FaultKind{
-	FaultCrash, FaultVanish, FaultHang, FaultSlow, FaultErrors, FaultDrain, FaultColdReturn, FaultNodeKill, FaultNodeStop,
+	FaultCrash, FaultVanish, FaultHang, FaultSlow, FaultErrors, FaultDrain, FaultUnlist, FaultColdReturn, FaultNodeKill, FaultNodeStop,
 	FaultNodeRestart, FaultDiscoveryDown, FaultDiscoveryStale, FaultDiscoveryWrong, FaultClientsStall, FaultClientsReset,
 	FaultClientsHalfClose, FaultNodeReplace, FaultNodePause, FaultServersStall, FaultServersReset, FaultReportsOff,
 	FaultDiskLost, FaultCut, FaultLoss, FaultDelay, FaultDuplicate, FaultReorder,
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -31,7 +31,9 @@
 	Nodes    int           // 0: drawn from the seed
 	Duration time.Duration // raised to 10 s if shorter
 	Quiet    bool          // no faults and no planned stops
-	Kind     string        // kind of the nodes, as in a scenario; empty: tackhub
+	// Withdrawals adds events in which the list withdraws all servers, or those of a zone, and has them back.
+	Withdrawals bool
+	Kind        string // kind of the nodes, as in a scenario; empty: tackhub
 }
 
 // classes are the request classes of a run, one for each effect.
@@ -78,6 +80,9 @@
 	if !o.Quiet {
 		s.Faults = randomFaults(s, rng)
 	}
+	if o.Withdrawals {
+		addWithdrawals(s, rand.New(rand.NewPCG(o.Seed, 0xf1ee)))
+	}
 	return s
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os/exec"
 	"path/filepath"
+	"reflect"
 	"runtime"
 	"slices"
 	"testing"
@@ -101,3 +102,24 @@
 		t.Errorf("node that drops its requests: want a breach of rule lost, a failure and a stop, got %s", outcome.Figures)
 	}
 }
+
+// A soak with withdrawals must withdraw the whole fleet for longer than the drain grace; else no request could break the rule on
+// drains. The other faults of a seed must stay as they are without withdrawals.
+func TestWithdrawalsExceedDrainGrace(t *testing.T) {
+	beyondGrace := 0
+	for seed := range uint64(50) {
+		plain, s := Plan(Options{Seed: seed}), Plan(Options{Seed: seed, Withdrawals: true})
+		if !slices.EqualFunc(plain.Faults, s.Faults[:len(plain.Faults)], func(a, b scenario.Fault) bool { return reflect.DeepEqual(a, b) }) {
+			t.Errorf("seed %d: withdrawals change the other faults of the plan", seed)
+		}
+		scheduleHash(t, parsePrinted(t, s))
+		for _, f := range s.Faults[len(plain.Faults):] {
+			if f.Target == "all" && f.For > s.Nodes.DrainGrace {
+				beyondGrace++
+			}
+		}
+	}
+	if beyondGrace < 50 {
+		t.Errorf("withdrawals of the fleet beyond the grace in 50 runs = %d, want at least 50", beyondGrace)
+	}
+}
