Send Retry-After with rejections while the list offers no server

What callers saw: with every server withdrawn each request was rejected at once, as it should, but without a Retry-After where the settings permit one, so clients came back at once and all stood there when the servers returned in slow start.

Cause: retryAfter returned none for an empty list of ready servers. The wait is now the limit that holds for every Retry-After, a fraction of the time to the objective or the settings' maximum.

--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -81,9 +81,9 @@
 
 // retryAfter returns the value for Retry-After, in ms, or 0 for none. It is the estimated time that the
 // servers need for the requests that are queued now, limited to a fraction of the time to the objective: a
-// client that retries after its objective only adds load.
+// client that retries after its objective only adds load. Without servers it is that limit.
 func (b *Balancer) retryAfter(r *request) Millis {
-	if !b.settings.RetryAfterAllowed || len(b.servers.ready) == 0 {
+	if !b.settings.RetryAfterAllowed {
 		return 0
 	}
 	queued := float64((len(b.queue.waiting) + 1) * b.fleet.size)
--- a/balancer/retry_test.go
+++ b/balancer/retry_test.go
@@ -69,3 +69,18 @@
 		}
 	}
 }
+
+// A fleet without servers rejects every request. Without a Retry-After clients retry at once, and all of them wait at the moment when
+// the servers return in slow start.
+func TestRejectionWithoutServersHasRetryAfter(t *testing.T) {
+	b := newTestNode(t, settings())
+	_, acts := b.arrive("read", 390)
+	if count[Reject](acts) != 1 {
+		t.Fatalf("actions without servers = %v, want one rejection", acts)
+	}
+	for _, a := range acts {
+		if r, ok := a.(Reject); ok && (r.Reason != NoServers || r.RetryAfter <= 0 || r.RetryAfter > 400) {
+			t.Errorf("rejection without servers = %+v, want reason %v and a Retry-After above 0 and at most 400 ms", r, NoServers)
+		}
+	}
+}
--- a/cmd/tackhub/withdrawal_test.go
+++ b/cmd/tackhub/withdrawal_test.go
@@ -29,7 +29,8 @@
 	}
 	notRejected := 0
 	for range requestsAfterWithdrawal {
-		if resp := p.mustDo(request("look", 1000)); resp.status != 503 || resp.took > 500*time.Millisecond {
+		resp := p.mustDo(request("look", 1000))
+		if resp.status != 503 || resp.took > 500*time.Millisecond || resp.header.Get("Retry-After") == "" {
 			notRejected++
 		}
 	}
@@ -38,7 +39,7 @@
 		after += len(s.requests())
 	}
 	if after > before || notRejected > 0 {
-		t.Errorf("after the grace %d of %d requests reached a withdrawn server, %d were not rejected within 500ms; want 0 and 0",
+		t.Errorf("after the grace %d of %d requests reached a withdrawn server, %d were not rejected within 500ms with a Retry-After; want 0 and 0",
 			after-before, requestsAfterWithdrawal, notRejected)
 	}
 }
