--- a/internal/discovery/fake_test.go
+++ b/internal/discovery/fake_test.go
@@ -88,6 +88,12 @@
 	change()
 }
 
+func (d *fakeDiscovery) callCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
 // stallConns stops all responses on the connections that are open now. Other connections still get responses.
 func (d *fakeDiscovery) stallConns() {
 	d.mu.Lock()
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -319,8 +319,12 @@
 }
 
 // injectDefect applies the defects that replace forwarding and reports whether it did. Only every seventh request is
-// affected, so that most of the run is normal.
+// affected, so that most of the run is normal. The defect refuse-run breaks its rule with unsafe requests alone, so every seventh of
+// these is affected.
 func (n *node) injectDefect(ctx *fasthttp.RequestCtx, class balancer.Class, timeout time.Duration) bool {
+	if n.options.Defect == "refuse-run" && class.Idempotency != balancer.NonIdempotent {
+		return false
+	}
 	n.mu.Lock()
 	n.requestCount++
 	inject := n.requestCount%7 == 0
