--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -173,7 +173,7 @@
 		c.Shadow, shadowFaults = loadShadowSettings(path, f.Watch)
 		faults = append(faults, shadowFaults...)
 	}
-	if len(f.Known) > 0 {
+	if len(f.Known) > 0 && string(f.Known) != "null" {
 		if c.Known, err = discovery.ParseList(f.Known); err != nil {
 			fault("known", "known", "%v", err)
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -122,3 +122,15 @@
 	}
 	return path
 }
+
+// A configuration without a cached list may say so by null, and a cached list may have no members. A node that refuses to start over
+// that is down for no reason.
+func TestKnownListMayBeNullOrEmpty(t *testing.T) {
+	const known = `"known":{"revision":41,"complete":true,"members":[{"id":"a","host_port":"127.0.0.3:1","phase":"SERVING"}]},`
+	for _, form := range []string{``, `"known":null,`, `"known":{"revision":41,"complete":true,"members":null},`, `"known":{"revision":41.0,"complete":true,"members":[]},`} {
+		c, err := load(t, strings.Replace(validFile, known, form, 1), nil)
+		if err != nil || len(c.Known.Members) > 0 {
+			t.Errorf("known %q: list %+v, error %v, want none", form, c.Known, err)
+		}
+	}
+}
