Count the servers of a list without copying it

Each applied list copied all members to count them by phase: 3,200 servers, some 400 KB for each change. They are counted in place; what is counted stays. Tests of internal/discovery pass.

--- a/internal/discovery/applylist.go
+++ b/internal/discovery/applylist.go
@@ -126,17 +126,25 @@
 	deleted  int
 }
 
-func countPhases(members []Member) phaseCounts {
+// add counts a member in a phase.
+func (n *phaseCounts) add(phase string) {
+	switch phase {
+	case PhaseServing:
+		n.serving++
+	case PhaseDeleted:
+		n.deleted++
+	default:
+		n.draining++
+	}
+}
+
+// phases returns the numbers of members of the current list.
+func (c *Client) phases() phaseCounts {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	var counts phaseCounts
-	for _, m := range members {
-		switch m.Phase {
-		case PhaseServing:
-			counts.serving++
-		case PhaseDeleted:
-			counts.deleted++
-		default:
-			counts.draining++
-		}
+	for _, m := range c.members {
+		counts.add(m.Phase)
 	}
 	return counts
 }
@@ -150,14 +158,17 @@
 		return
 	}
 	count.Applied.Set(receivedAt.UnixMilli())
-	current := countPhases(c.List().Members)
+	current := c.phases()
 	count.Serving.Set(int64(current.serving))
 	count.Draining.Set(int64(current.draining))
 }
 
 // logList logs a list that was applied: what it says, how it was requested, and what remains.
 func (c *Client) logList(list List, call callKind) {
-	named := countPhases(list.Members)
+	var named phaseCounts
+	for _, m := range list.Members {
+		named.add(m.Phase)
+	}
 	attrs := []any{"code", "list_applied", "revision", list.Revision, "complete", list.Complete, "call", string(call),
 		"serving", named.serving, "draining", named.draining, "deleted", named.deleted,
 		"left", c.count.ServerList.Serving.Get()}
