Test of idle connections: wait for the close to be counted by its reason too

TestMaxIdlePerServer failed once, in the whole script beside four busy processes: 2 open, 0 closed as spare, want 2 and 1.

Trace: Pool.close counts the connection as closed first and its reason some lines later, in another goroutine than the test's, which waited for the first count alone and read the second at once. With 5 ms of sleep between the two (scratch) the test fails with this very text, 3 of 3; the node's code is as before. The test now waits for both counts, with the same time and the same wanted values: 300 of 300.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -156,10 +156,11 @@
 		for _, c := range acquired {
 			p.put(c)
 		}
-		for end := time.Now().Add(10 * time.Second); count.Servers.Open.Get() != want && time.Now().Before(end); {
+		closed := func() int64 { return count.ServerEnds.Get(string(closeExcessIdle)) } // counted after the connection is counted as closed
+		for end := time.Now().Add(10 * time.Second); (count.Servers.Open.Get() != want || closed() != 3-want) && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
 		}
-		if n := count.Servers.Open.Get(); n != want || count.ServerEnds.Get(string(closeExcessIdle)) != 3-want {
+		if n := count.Servers.Open.Get(); n != want || closed() != 3-want {
 			t.Errorf("MaxIdlePerServer %d: %d open, %d closed as %s, want %d and %d", limit, n,
 				count.ServerEnds.Get(string(closeExcessIdle)), closeExcessIdle, want, 3-want)
 		}
