Review, case 3: a keyed request is sent again over CoAP after its repeats are remembered

Servers over HTTP reset two in five long requests after the run; the node repeats them over CoAP in 60 blocks, the last of which comes 1.2 s after the first run, where the rack remembers for 1 s.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,5 +1,5 @@
-// Command 3 plays gateways that speak CoAP over a slow link and come to the node's limit for one device, and looks whether a
-// purchase that was refused runs all the same.
+// Command 3 plays a rack of servers over HTTP and CoAP that drops repeats of a keyed request for 1 s, resets connections under long
+// requests, and looks whether any of them runs twice.
 package main
 
 import (
@@ -21,31 +21,35 @@
 	"tackhub.example/review/stand"
 )
 
-// The deployment: two classes of prepaid-data (MORE.md), at a small size.
+// The deployment: the class install-log of field-activation (MORE.md), at a small size.
 const settings = `{"classes":[
- {"aim_ms":600,"dedup_window_ms":2000,"effect":"free","group":"all","hard_limit_ms":2500,"late_share":0.2,"name":"usage-check","streamed":false,"worth":1},
- {"aim_ms":500,"dedup_window_ms":2000,"effect":"single_shot","group":"all","hard_limit_ms":1500,"late_share":0.2,"name":"topup-buy","streamed":false,"worth":8}],
- "client_habits":{"marks_retry":true},"counted_by":"request","discovery":"automatic","fleet_size":2,"goal":{"whole":1},"me":0,
- "obligations":{"answer_slack_ms":5,"cold_from":0.34,"cold_ms":8400,"fall_ms":3000,"fall_multiple":3,"stop_sending_within_ms":500},
- "policy_limits":{"attempts_cap":3,"conn_idle_ms":60000,"connect_timeout_ms":250,"may_cancel":true,"probes":false,
+ {"aim_ms":1000,"dedup_window_ms":1000,"effect":"guarded","group":"cell","hard_limit_ms":2000,"late_share":0,"name":"install-log","streamed":false,"worth":3}],
+ "client_habits":{"marks_retry":true},"counted_by":"request","discovery":"automatic","fleet_size":1,"goal":{"whole":1},"me":0,
+ "obligations":{"answer_slack_ms":5,"cold_from":0.15,"cold_ms":22000,"fall_ms":1000,"fall_multiple":3,"stop_sending_within_ms":1000},
+ "policy_limits":{"attempts_cap":6,"conn_idle_ms":60000,"connect_timeout_ms":250,"may_cancel":true,"probes":false,
   "retry_after":false,"max_retry_after_ms":2000,"second_copies":false},
  "report":{"how":"none","names":["util"]},"tick_ms":1,"weights":"none","zone":"east","zones":["east"],
  "realms":[{"name":"acme","quota_per_s":1000,"share":1}]}`
 
 const (
-	servers    = 16
-	gateways   = 5
-	remembered = 63                     // purchases of a gateway before the one that is looked at; the node remembers 64 exchanges of a device
-	linkDelay  = 150 * time.Millisecond // one way; GROWTH.md: 300 ms of added delay
-	work       = 60 * time.Millisecond  // usage-check: 45 to 81 ms; topup-buy: 56 to 100 ms
-	ackTimeout = 120 * time.Millisecond // of a device, to one and a half times that; docs/coap.md: 120 to 180 ms
+	httpServers = 2
+	coapServers = 3
+	clients     = 4                      // the first sends long logs
+	work        = 120 * time.Millisecond // install-log: 92 to 170 ms
+	window      = time.Second            // for which the servers of one rack drop a repeat
+	linkDelay   = 8 * time.Millisecond   // one way; MORE.md: 4.7 to 8.8 ms
+	large       = 60 << 10               // bytes of a long log; PROTOCOL.md: 64 KiB at most
+	resetShare  = 0.4                    // of the long requests at servers over HTTP
+	playFor     = 60 * time.Second
 )
 
 type play struct {
 	record *stand.Record
 
-	mu   sync.Mutex
-	runs map[string]int // by purchase: how often a server has run it
+	mu       sync.Mutex
+	ranAt    map[string]time.Time // by key: when the pod ran it first
+	runs     map[string]int       // by key
+	resetFor map[string]bool      // keys whose connection was reset after the run
 }
 
 func main() { os.Exit(run(os.Args[1], os.Args[2])) }
@@ -56,7 +60,7 @@
 		fmt.Println(err)
 		return stand.NoRun
 	}
-	code, err := (&play{record: record, runs: map[string]int{}}).run(root)
+	code, err := (&play{record: record, ranAt: map[string]time.Time{}, runs: map[string]int{}, resetFor: map[string]bool{}}).run(root)
 	if err != nil {
 		record.Result("cannot run: %v", err)
 	}
@@ -71,74 +75,118 @@
 	defer os.RemoveAll(tmp)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var members []stand.Member
-	for i := range servers {
-		address, err := p.startServer(ctx, fmt.Sprintf("s%d", i))
+	edge := "[inventory]\ndiscovery = false\n"
+	for i := range httpServers + coapServers {
+		name := fmt.Sprintf("s%d", i)
+		address, err := p.startHTTP(ctx, name)
+		if err == nil && i < httpServers {
+			address, err = stand.StartLink(ctx, address, linkDelay)
+		}
+		if i >= httpServers {
+			if address, err = p.startCoAP(ctx, name); err == nil {
+				address, err = startSlowLink(ctx, address)
+			}
+			address = "coap://" + address
+		}
 		if err != nil {
 			return stand.NoRun, err
 		}
-		members = append(members, stand.Serving(fmt.Sprintf("s%d", i), address))
+		edge += fmt.Sprintf("[[inventory.static]]\nid = %q\naddress = %q\nzone = \"east\"\npod = \"rack-1\"\n", name, address)
 	}
-	discovery, err := stand.StartDiscovery(members)
+	discovery, err := stand.StartDiscovery([]stand.Member{})
 	if err != nil {
 		return stand.NoRun, err
 	}
 	defer discovery.Close()
-	var fronts []string
-	for _, name := range []string{"n0", "n1"} {
-		front := stand.FreeUDP()
-		node, err := stand.StartNode(stand.NodeOptions{Root: root, Dir: tmp, Name: name, Discovery: discovery.Address, Members: members,
-			Settings: settings, Edge: "[coap]\nlisten = \"" + front + "\"\n"})
-		if err != nil {
-			return stand.NoRun, err
-		}
-		defer node.Kill()
-		fronts = append(fronts, front)
+	node, err := stand.StartNode(stand.NodeOptions{Root: root, Dir: tmp, Name: "n0", Discovery: discovery.Address, Members: []stand.Member{},
+		Settings: settings, Edge: edge})
+	if err != nil {
+		return stand.NoRun, err
 	}
+	defer node.Kill()
+	time.Sleep(3 * time.Second)
+	until := time.Now().Add(playFor)
 	var wait sync.WaitGroup
-	results := make([]result, gateways)
-	errs := make([]error, gateways)
-	for i := range gateways {
-		wait.Go(func() { results[i], errs[i] = p.gateway(ctx, i, fronts) })
+	var mu sync.Mutex
+	codes := map[string]int{}
+	for i := range clients {
+		wait.Go(func() {
+			size, kind := 100, "small"
+			if i == 0 {
+				size, kind = large, "large"
+			}
+			for n := 0; time.Now().Before(until); n++ {
+				code := p.ask(node.Address, fmt.Sprintf("account-%d-%d-%s", i, n, kind), size)
+				mu.Lock()
+				codes[kind+" "+strconv.Itoa(code)]++
+				mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
 	}
 	wait.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return stand.NoRun, err
-		}
-	}
-	return p.judge(results), nil
-}
-
-// judge compares what the gateways were told of their last purchase with what the servers ran.
-func (p *play) judge(results []result) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	refused, twice := 0, 0
-	for _, r := range results {
-		p.record.Printf("%s: answers of n0 %v, answer of n1 %v, run %d times", r.purchase, r.first, r.second, p.runs[r.purchase])
-		if r.refused {
-			refused++
-		}
-		if p.runs[r.purchase] > 1 {
+	twice := 0
+	for key, n := range p.runs {
+		if n > 1 {
 			twice++
+			p.record.Printf("%s ran %d times", key, n)
 		}
 	}
-	p.record.Result("purchases looked at: %d, refused by n0: %d, run twice: %d", len(results), refused, twice)
+	p.record.Result("answers %v, keys run: %d, reset after the run: %d, keys run twice: %d", codes, len(p.runs), len(p.resetFor), twice)
 	switch {
 	case twice > 0:
-		p.record.Result("rule broken: a purchase that was refused ran, and ran again after it had been sent anew")
-		return stand.Broken
-	case refused == 0:
-		p.record.Result("cannot run: no purchase was refused")
-		return stand.NoRun
+		p.record.Result("rule broken: the node sent a request again after the time for which the rack remembers it, and it ran twice")
+		return stand.Broken, nil
+	case len(p.runs) < 100 || stand.Trouble() && len(p.resetFor) < 3:
+		return stand.NoRun, fmt.Errorf("too little was run or reset")
 	}
 	p.record.Result("rule held")
-	return stand.Held
+	return stand.Held, nil
 }
 
-// startServer starts a server over HTTP that runs what it is sent.
-func (p *play) startServer(ctx context.Context, name string) (string, error) {
+// ask sends one keyed request.
+func (p *play) ask(address, key string, size int) int {
+	body := strings.Repeat("x", size)
+	request, _ := http.NewRequest("POST", "http://"+address+"/install-log", strings.NewReader(body))
+	request.Header.Set("X-Request-Id", fmt.Sprintf("%016x", rand.Uint64()))
+	request.Header.Set("X-Class", "install-log")
+	request.Header.Set("X-Tenant", "acme")
+	request.Header.Set("X-Deadline-Ms", "2000")
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		p.record.Printf("%s: %v", key, err)
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	p.record.Printf("%s: answer %d", key, response.StatusCode)
+	return response.StatusCode
+}
+
+// execute runs a request, or drops it as a repeat, and reports whether the rack has run it for the first time.
+func (p *play) execute(name, key string) (first bool) {
+	p.mu.Lock()
+	at, known := p.ranAt[key]
+	if known && time.Since(at) < window {
+		p.mu.Unlock()
+		p.record.Printf("%s: drops the repeat of %s after %d ms", name, key, time.Since(at).Milliseconds())
+		return false
+	}
+	if known {
+		p.record.Printf("%s: %s comes again after %d ms, and is not remembered", name, key, time.Since(at).Milliseconds())
+	}
+	p.ranAt[key] = time.Now()
+	p.runs[key]++
+	p.mu.Unlock()
+	p.record.Printf("%s: runs %s", name, key)
+	time.Sleep(work)
+	return !known
+}
+
+func (p *play) startHTTP(ctx context.Context, name string) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -150,13 +198,13 @@
 			if err != nil {
 				return
 			}
-			go p.serve(c, name)
+			go p.serveHTTP(c, name)
 		}
 	}()
 	return l.Addr().String(), nil
 }
 
-func (p *play) serve(c net.Conn, name string) {
+func (p *play) serveHTTP(c net.Conn, name string) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
@@ -164,198 +212,94 @@
 		if err != nil {
 			return
 		}
-		purchase, _ := io.ReadAll(request.Body)
-		if len(purchase) > 0 {
+		_, _ = io.Copy(io.Discard, request.Body)
+		key := request.Header.Get("Idempotency-Key")
+		first := p.execute(name, key)
+		if first && stand.Trouble() && strings.HasSuffix(key, "large") && rand.Float64() < resetShare {
 			p.mu.Lock()
-			p.runs[string(purchase)]++
+			p.resetFor[key] = true
 			p.mu.Unlock()
-		}
-		p.record.Printf("server %s: runs %s %s", name, request.URL.Path, purchase)
-		time.Sleep(work)
-		body := "done " + string(purchase)
-		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body); err != nil {
+			p.record.Printf("%s: connection reset under %s", name, key)
 			return
 		}
-	}
-}
-
-// result is what a gateway was told of the purchase that is looked at.
-type result struct {
-	purchase string
-	first    []string // codes of the first node's answers
-	second   string   // code of the second node's answer
-	refused  bool     // the first of them was a refusal
-}
-
-// gateway buys until the node remembers 63 purchases of it, then checks its usage and buys once more right behind it.
-func (p *play) gateway(ctx context.Context, number int, fronts []string) (result, error) {
-	r := result{purchase: fmt.Sprintf("g%d-looked-at", number)}
-	var links []*link
-	for node, front := range fronts {
-		l, err := p.connect(ctx, node, front)
-		if err != nil {
-			return r, err
-		}
-		defer l.close()
-		links = append(links, l)
-	}
-	for done, tries := 0, 0; done < remembered; tries++ {
-		if tries > 3*remembered {
-			return r, fmt.Errorf("gateway %d: %d purchases were served, wanted %d", number, done, remembered)
-		}
-		answers := links[0].ask(fmt.Sprintf("g%d-%d", number, tries), 3*time.Second, 0)
-		if len(answers) > 0 && answers[0].Code == coap.Changed {
-			done++
-		}
-	}
-	checked := make(chan struct{})
-	go func() {
-		links[0].ask("", 3*time.Second, 0)
-		close(checked)
-	}()
-	time.Sleep(5 * time.Millisecond)
-	answers := links[0].ask(r.purchase, 3*time.Second, 1500*time.Millisecond)
-	<-checked
-	for _, a := range answers {
-		r.first = append(r.first, codeName(a.Code))
-	}
-	if len(answers) == 0 || answers[0].Code != coap.Unavailable {
-		return r, nil
-	}
-	r.refused = true
-	maxAge, _ := answers[0].Uint(coap.OptionMaxAge)
-	time.Sleep(time.Duration(maxAge) * time.Second)
-	if answers := links[1].ask(r.purchase, 3*time.Second, 0); len(answers) > 0 {
-		r.second = codeName(answers[0].Code)
-	}
-	return r, nil
-}
-
-// link is a gateway's socket to one node.
-type link struct {
-	play *play
-	node int
-	conn net.Conn
-
-	mu        sync.Mutex
-	echo      []byte
-	messageID uint16
-	waiting   map[string]chan coap.Message // by token
-	byID      map[uint16]chan coap.Message // the same, by message id
-}
-
-func (p *play) connect(ctx context.Context, node int, front string) (*link, error) {
-	if stand.Trouble() {
-		var err error
-		if front, err = startSlowLink(ctx, front); err != nil {
-			return nil, err
-		}
-	}
-	c, err := net.Dial("udp", front)
-	if err != nil {
-		return nil, err
-	}
-	l := &link{play: p, node: node, conn: c, messageID: uint16(rand.Uint32()), waiting: map[string]chan coap.Message{},
-		byID: map[uint16]chan coap.Message{}}
-	go l.read()
-	answers := l.ask("echo", 3*time.Second, 0)
-	if len(answers) == 0 || answers[0].Code != coap.Unauthorized {
-		return nil, fmt.Errorf("no Echo value from node %d", node)
-	}
-	l.mu.Lock()
-	l.echo, _ = answers[0].Get(coap.OptionEcho)
-	l.mu.Unlock()
-	return l, nil
-}
-
-func (l *link) close() { _ = l.conn.Close() }
-
-// read passes what comes to the requests that wait for it.
-func (l *link) read() {
-	buffer := make([]byte, 2048)
-	for {
-		n, err := l.conn.Read(buffer)
-		if err != nil {
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
 			return
 		}
-		m, err := coap.Decode(buffer[:n])
-		if err != nil {
-			continue
-		}
-		if m.Type == coap.Con {
-			_, _ = l.conn.Write((&coap.Message{Type: coap.Ack, ID: m.ID}).Encode())
-		}
-		l.mu.Lock()
-		to := l.waiting[string(m.Token)]
-		if m.Code == coap.Empty {
-			to = l.byID[m.ID]
-		}
-		l.mu.Unlock()
-		if to != nil {
-			to <- m
-		}
 	}
 }
 
-// ask sends a purchase, or without one a check of usage, and sends it again by RFC 7252 (4.2) until it is acknowledged or answered.
-// It returns the answers: the first, and what else comes within a time behind it.
-func (l *link) ask(purchase string, within, behind time.Duration) (answers []coap.Message) {
-	l.mu.Lock()
-	l.messageID++
-	m := coap.Message{Type: coap.Con, Code: coap.Post, ID: l.messageID, Token: []byte{byte(l.messageID >> 8), byte(l.messageID), 9, 9},
-		Payload: []byte(purchase)}
-	class := "topup-buy"
-	if purchase == "" {
-		m.Code = coap.Get
-		class = "usage-check"
-	}
-	m.Add(coap.OptionPath, []byte(class))
-	m.Add(coap.OptionQuery, []byte("tenant=acme"))
-	if len(l.echo) > 0 {
-		m.Add(coap.OptionEcho, l.echo)
+// startCoAP starts a server over CoAP that knows repeats of a message and takes uploads in blocks.
+func (p *play) startCoAP(ctx context.Context, name string) (string, error) {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
 	}
-	arrived := make(chan coap.Message, 16)
-	l.waiting[string(m.Token)] = arrived
-	l.byID[m.ID] = arrived
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.waiting, string(m.Token))
-		delete(l.byID, m.ID)
-	}()
-	name := strings.TrimSpace(class + " " + purchase)
-	timeout := time.Duration(float64(ackTimeout) * (1 + rand.Float64()/2))
-	end := time.After(within)
-	resend := time.After(0)
-	for sent := 0; ; {
-		select {
-		case <-resend:
-			if sent == 5 {
+	context.AfterFunc(ctx, func() { _ = c.Close() })
+	go func() {
+		var mu sync.Mutex
+		answers := map[uint16][]byte{} // by message id; nil while it is worked on
+		uploads := map[string]int{}    // by request id: bytes so far
+		buffer := make([]byte, 4096)
+		for {
+			n, from, err := c.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			m, err := coap.Decode(buffer[:n])
+			if err != nil || m.Type != coap.Con {
 				continue
 			}
-			l.play.record.Printf("%s: to n%d, message %d, copy %d", name, l.node, m.ID, sent)
-			_, _ = l.conn.Write(m.Encode())
-			sent++
-			resend = time.After(timeout)
-			timeout *= 2
-		case in := <-arrived:
-			resend = nil
-			if in.Code == coap.Empty || len(answers) > 0 && bytes.Equal(in.Encode(), answers[len(answers)-1].Encode()) {
+			if m.Code == coap.Empty {
+				_, _ = c.WriteTo((&coap.Message{Type: coap.Rst, ID: m.ID}).Encode(), from)
+				continue
+			}
+			mu.Lock()
+			stored, known := answers[m.ID]
+			if !known {
+				answers[m.ID] = nil
+			}
+			mu.Unlock()
+			if known {
+				if stored != nil {
+					_, _ = c.WriteTo(stored, from)
+				}
 				continue
 			}
-			l.play.record.Printf("%s: n%d answers %s %q", name, l.node, codeName(in.Code), in.Payload)
-			answers = append(answers, in)
-			if len(answers) == 1 {
-				end = time.After(behind)
+			reply := func(code int, block uint32, present bool) {
+				out := coap.Message{Type: coap.Ack, Code: code, ID: m.ID, Token: m.Token}
+				if present {
+					out.AddUint(coap.OptionBlock1, block)
+				}
+				mu.Lock()
+				answers[m.ID] = out.Encode()
+				mu.Unlock()
+				_, _ = c.WriteTo(out.Encode(), from)
+			}
+			key, _ := m.Get(65006)
+			id, _ := m.Get(coap.OptionRequestID)
+			block, present := m.Uint(coap.OptionBlock1)
+			if present {
+				if uploads[string(id)] != int(block>>4)<<(block&7+4) {
+					reply(4<<5|8, block, true)
+					continue
+				}
+				uploads[string(id)] += len(m.Payload)
+				if block&8 != 0 {
+					reply(2<<5|31, block, true)
+					continue
+				}
+				delete(uploads, string(id))
 			}
-		case <-end:
-			return answers
+			go func() {
+				p.execute(name, string(key))
+				reply(coap.Changed, block, present)
+			}()
 		}
-	}
+	}()
+	return c.LocalAddr().String(), nil
 }
 
-// startSlowLink starts a relay of datagrams for one device that passes each on after a delay, in either direction.
+// startSlowLink starts a relay of datagrams for one peer that passes each on after a delay, in order, in either direction.
 func startSlowLink(ctx context.Context, target string) (string, error) {
 	near, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -369,10 +313,10 @@
 		_ = near.Close()
 		_ = far.Close()
 	})
-	device := make(chan net.Addr, 1)
+	peer := make(chan net.Addr, 1)
 	go func() {
 		known := false
-		buffer := make([]byte, 2048)
+		buffer := make([]byte, 4096)
 		for {
 			n, from, err := near.ReadFrom(buffer)
 			if err != nil {
@@ -380,15 +324,15 @@
 			}
 			if !known {
 				known = true
-				device <- from
+				peer <- from
 			}
 			data := bytes.Clone(buffer[:n])
 			time.AfterFunc(linkDelay, func() { _, _ = far.Write(data) })
 		}
 	}()
 	go func() {
-		to := <-device
-		buffer := make([]byte, 2048)
+		to := <-peer
+		buffer := make([]byte, 4096)
 		for {
 			n, err := far.Read(buffer)
 			if err != nil {
@@ -400,5 +344,3 @@
 	}()
 	return near.LocalAddr().String(), nil
 }
-
-func codeName(code int) string { return fmt.Sprintf("%d.%02d", code>>5, code&31) }
