--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,7 @@
 here=$PWD
 root=$(cd ../.. && pwd)
 [ -x "$root/bin/tackhub" ] && [ -x "$root/review/bin/case3" ] || { echo "build first: deploy/balancer.toml, review/build.sh"; exit 2; }
-exec timeout -k 5 110 "$root/review/bin/case3" "$root" "$here"
+timeout -k 5 110 "$root/review/bin/case3" "$root" "$here"
+rc=$?
+[ "$rc" -le 2 ] || rc=2
+exit "$rc"
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -129,6 +130,27 @@
 	exited  chan struct{}
 }
 
+var (
+	startedMu sync.Mutex
+	started   []*Node
+	onSignal  sync.Once
+)
+
+// killOnSignal ends all nodes and the case when the case is told to end, for example at its time limit.
+func killOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		startedMu.Lock()
+		defer startedMu.Unlock()
+		for _, n := range started {
+			_ = n.cmd.Process.Kill()
+		}
+		os.Exit(NoRun)
+	}()
+}
+
 // FreeTCP returns a free TCP address.
 func FreeTCP() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -203,7 +225,14 @@
 		n.cmd.Env = append(n.cmd.Env, "TACKHUB_EDGE="+edge)
 	}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
-	if err := n.cmd.Start(); err != nil {
+	onSignal.Do(killOnSignal)
+	startedMu.Lock()
+	err = n.cmd.Start()
+	if err == nil {
+		started = append(started, n)
+	}
+	startedMu.Unlock()
+	if err != nil {
 		return nil, err
 	}
 	go func() {
