--- a/review/2/main.go
+++ b/review/2/main.go
@@ -95,28 +95,46 @@
 		nodes = append(nodes, node)
 		fronts = append(fronts, front)
 	}
-	// Each device has a fresh Echo value of either node, as after an earlier bill.
-	var all []*device
+	all, err := p.connectDevices(fronts)
+	for _, d := range all {
+		defer d.close()
+	}
+	if err != nil {
+		return stand.NoRun, err
+	}
+	results := p.pay(all, nodes[0])
+	if stand.Trouble() && !nodes[0].WaitExit(5*time.Second) {
+		return stand.NoRun, fmt.Errorf("node n0 has not ended")
+	}
+	return p.judge(all, results), nil
+}
+
+// connectDevices opens the devices. Each has a fresh Echo value of either node, as after an earlier bill.
+func (p *play) connectDevices(fronts []string) (all []*device, err error) {
 	for i := range devices {
 		d := &device{play: p, bill: fmt.Sprintf("bill-%02d", i)}
+		all = append(all, d)
 		for _, front := range fronts {
 			if err := d.connect(front); err != nil {
-				return stand.NoRun, err
+				return all, err
 			}
 		}
-		defer d.close()
-		all = append(all, d)
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	clear(p.runs) // the bills so far were the devices' first ones
-	p.mu.Unlock()
+	return all, nil
+}
+
+// pay tells the node to end, and lets the devices send their bills.
+func (p *play) pay(all []*device, node *stand.Node) []result {
 	if stand.Trouble() {
 		p.record.Printf("SIGTERM to node n0")
-		nodes[0].Terminate()
+		node.Terminate()
 	}
 	began := time.Now()
 	var wait sync.WaitGroup
-	results := make([]result, devices)
+	results := make([]result, len(all))
 	for i, d := range all {
 		wait.Go(func() {
 			time.Sleep(time.Until(began.Add(firstSend + time.Duration(i)*sendInterval)))
@@ -124,10 +142,7 @@
 		})
 	}
 	wait.Wait()
-	if stand.Trouble() && !nodes[0].WaitExit(5*time.Second) {
-		return stand.NoRun, fmt.Errorf("node n0 has not ended")
-	}
-	return p.judge(all, results), nil
+	return results
 }
 
 // judge compares what the devices were told with what the servers ran.
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -105,6 +105,11 @@
 	}
 	defer node.Kill()
 	time.Sleep(3 * time.Second)
+	return p.judge(p.send(node.Address))
+}
+
+// send lets the clients send requests, and returns the number of each kind of answer.
+func (p *play) send(address string) map[string]int {
 	until := time.Now().Add(playFor)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
@@ -116,7 +121,7 @@
 				size, kind = large, "large"
 			}
 			for n := 0; time.Now().Before(until); n++ {
-				code := p.ask(node.Address, fmt.Sprintf("account-%d-%d-%s", i, n, kind), size)
+				code := p.ask(address, fmt.Sprintf("account-%d-%d-%s", i, n, kind), size)
 				mu.Lock()
 				codes[kind+" "+strconv.Itoa(code)]++
 				mu.Unlock()
@@ -125,6 +130,11 @@
 		})
 	}
 	wait.Wait()
+	return codes
+}
+
+// judge looks for requests that the rack ran twice.
+func (p *play) judge(codes map[string]int) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	twice := 0
@@ -228,77 +238,91 @@
 	}
 }
 
-// startCoAP starts a server over CoAP that knows repeats of a message and takes uploads in blocks.
+// coapServer is a server over CoAP that knows repeats of a message and takes uploads in blocks.
+type coapServer struct {
+	play    *play
+	name    string
+	conn    net.PacketConn
+	uploads map[string]int // by request id: bytes so far
+
+	mu      sync.Mutex
+	answers map[uint16][]byte // by message id; nil while it is worked on
+}
+
 func (p *play) startCoAP(ctx context.Context, name string) (string, error) {
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
 	context.AfterFunc(ctx, func() { _ = c.Close() })
+	s := &coapServer{play: p, name: name, conn: c, uploads: map[string]int{}, answers: map[uint16][]byte{}}
 	go func() {
-		var mu sync.Mutex
-		answers := map[uint16][]byte{} // by message id; nil while it is worked on
-		uploads := map[string]int{}    // by request id: bytes so far
 		buffer := make([]byte, 4096)
 		for {
 			n, from, err := c.ReadFrom(buffer)
 			if err != nil {
 				return
 			}
-			m, err := coap.Decode(buffer[:n])
-			if err != nil || m.Type != coap.Con {
-				continue
-			}
-			if m.Code == coap.Empty {
-				_, _ = c.WriteTo((&coap.Message{Type: coap.Rst, ID: m.ID}).Encode(), from)
-				continue
+			if m, err := coap.Decode(buffer[:n]); err == nil && m.Type == coap.Con {
+				s.receive(m, from)
 			}
-			mu.Lock()
-			stored, known := answers[m.ID]
-			if !known {
-				answers[m.ID] = nil
-			}
-			mu.Unlock()
-			if known {
-				if stored != nil {
-					_, _ = c.WriteTo(stored, from)
-				}
-				continue
-			}
-			reply := func(code int, block uint32, present bool) {
-				out := coap.Message{Type: coap.Ack, Code: code, ID: m.ID, Token: m.Token}
-				if present {
-					out.AddUint(coap.OptionBlock1, block)
-				}
-				mu.Lock()
-				answers[m.ID] = out.Encode()
-				mu.Unlock()
-				_, _ = c.WriteTo(out.Encode(), from)
-			}
-			key, _ := m.Get(65006)
-			id, _ := m.Get(coap.OptionRequestID)
-			block, present := m.Uint(coap.OptionBlock1)
-			if present {
-				if uploads[string(id)] != int(block>>4)<<(block&7+4) {
-					reply(4<<5|8, block, true)
-					continue
-				}
-				uploads[string(id)] += len(m.Payload)
-				if block&8 != 0 {
-					reply(2<<5|31, block, true)
-					continue
-				}
-				delete(uploads, string(id))
-			}
-			go func() {
-				p.execute(name, string(key))
-				reply(coap.Changed, block, present)
-			}()
 		}
 	}()
 	return c.LocalAddr().String(), nil
 }
 
+// receive answers a ping or a repeat, or takes a new message.
+func (s *coapServer) receive(m coap.Message, from net.Addr) {
+	if m.Code == coap.Empty {
+		_, _ = s.conn.WriteTo((&coap.Message{Type: coap.Rst, ID: m.ID}).Encode(), from)
+		return
+	}
+	s.mu.Lock()
+	stored, known := s.answers[m.ID]
+	if !known {
+		s.answers[m.ID] = nil
+	}
+	s.mu.Unlock()
+	if !known {
+		s.take(m, from)
+	} else if stored != nil {
+		_, _ = s.conn.WriteTo(stored, from)
+	}
+}
+
+// take adds a block to its upload, and runs a request that is whole.
+func (s *coapServer) take(m coap.Message, from net.Addr) {
+	block, present := m.Uint(coap.OptionBlock1)
+	reply := func(code int) {
+		out := coap.Message{Type: coap.Ack, Code: code, ID: m.ID, Token: m.Token}
+		if present {
+			out.AddUint(coap.OptionBlock1, block)
+		}
+		s.mu.Lock()
+		s.answers[m.ID] = out.Encode()
+		s.mu.Unlock()
+		_, _ = s.conn.WriteTo(out.Encode(), from)
+	}
+	if present {
+		id, _ := m.Get(coap.OptionRequestID)
+		if s.uploads[string(id)] != int(block>>4)<<(block&7+4) {
+			reply(coap.Incomplete)
+			return
+		}
+		s.uploads[string(id)] += len(m.Payload)
+		if block&8 != 0 {
+			reply(coap.Continue)
+			return
+		}
+		delete(s.uploads, string(id))
+	}
+	key, _ := m.Get(coap.OptionKey)
+	go func() {
+		s.play.execute(s.name, string(key))
+		reply(coap.Changed)
+	}()
+}
+
 // startSlowLink starts a relay of datagrams for one peer that passes each on after a delay, in order, in either direction.
 func startSlowLink(ctx context.Context, target string) (string, error) {
 	near, err := net.ListenPacket("udp", "127.0.0.1:0")
--- a/review/coap/coap.go
+++ b/review/coap/coap.go
@@ -22,6 +22,8 @@
 	Post            = 2
 	Changed         = 2<<5 | 4
 	Content         = 2<<5 | 5
+	Continue        = 2<<5 | 31
+	Incomplete      = 4<<5 | 8
 	Unauthorized    = 4<<5 | 1
 	ServerError     = 5 << 5
 	Unavailable     = 5<<5 | 3
@@ -32,7 +34,8 @@
 	OptionBlock2    = 23
 	OptionBlock1    = 27
 	OptionEcho      = 252
-	OptionRequestID = 65002 // of tackhub's servers, docs/coap.md
+	OptionRequestID = 65002 // this and the next one: of tackhub's servers, docs/coap.md
+	OptionKey       = 65006
 )
 
 var errMessage = errors.New("no CoAP message")
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -186,17 +186,42 @@
 
 // StartNode starts a node by the deploy file's run line and waits until its health check answers 200.
 func StartNode(o NodeOptions) (*Node, error) {
+	n := &Node{Address: FreeTCP(), exited: make(chan struct{})}
+	environment, err := o.environment(n.Address)
+	if err != nil {
+		return nil, err
+	}
 	run, err := runLine(o.Root)
 	if err != nil {
 		return nil, err
 	}
+	log, err := os.Create(filepath.Join(o.Dir, o.Name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	n.cmd = exec.Command("/bin/sh", "-c", run)
+	n.cmd.Dir = o.Root
+	n.cmd.Env = append(os.Environ(), environment...)
+	n.cmd.Stdout, n.cmd.Stderr = log, log
+	if err := n.start(); err != nil {
+		return nil, err
+	}
+	if !n.awaitReady(10 * time.Second) {
+		n.Kill()
+		return nil, fmt.Errorf("node %s is not ready after 10 s", o.Name)
+	}
+	return n, nil
+}
+
+// environment writes a node's files and returns the variables that name them.
+func (o NodeOptions) environment(address string) ([]string, error) {
 	tmp := filepath.Join(o.Dir, o.Name+"-tmp")
 	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return nil, err
 	}
-	n := &Node{Address: FreeTCP(), exited: make(chan struct{})}
 	config, err := json.Marshal(map[string]any{
-		"name": o.Name, "listen": n.Address, "discovery": o.Discovery, "seed": "8c1f30d27a5be964",
+		"name": o.Name, "listen": address, "discovery": o.Discovery, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":    map[string]any{"revision": 41, "complete": true, "members": o.Members},
 		"settings": json.RawMessage(o.Settings),
@@ -208,38 +233,37 @@
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(o.Dir, o.Name+".log"))
-	if err != nil {
-		return nil, err
-	}
-	defer log.Close()
-	n.cmd = exec.Command("/bin/sh", "-c", run)
-	n.cmd.Dir = o.Root
-	n.cmd.Env = append(os.Environ(), "ROUTER_NAME="+o.Name, "ROUTER_LISTEN="+n.Address, "ROUTER_DISCOVERY="+o.Discovery,
-		"ROUTER_CONFIG="+path, "TMPDIR="+tmp)
+	out := []string{"ROUTER_NAME=" + o.Name, "ROUTER_LISTEN=" + address, "ROUTER_DISCOVERY=" + o.Discovery, "ROUTER_CONFIG=" + path,
+		"TMPDIR=" + tmp}
 	if o.Edge != "" {
 		edge := filepath.Join(o.Dir, o.Name+"-edge.toml")
 		if err := os.WriteFile(edge, []byte(o.Edge), 0o600); err != nil {
 			return nil, err
 		}
-		n.cmd.Env = append(n.cmd.Env, "TACKHUB_EDGE="+edge)
+		out = append(out, "TACKHUB_EDGE="+edge)
 	}
-	n.cmd.Stdout, n.cmd.Stderr = log, log
+	return out, nil
+}
+
+// start starts the process, and sees to it that it ends with the case.
+func (n *Node) start() error {
 	onSignal.Do(killOnSignal)
 	startedMu.Lock()
-	err = n.cmd.Start()
-	if err == nil {
-		started = append(started, n)
-	}
-	startedMu.Unlock()
-	if err != nil {
-		return nil, err
+	defer startedMu.Unlock()
+	if err := n.cmd.Start(); err != nil {
+		return err
 	}
+	started = append(started, n)
 	go func() {
 		_ = n.cmd.Wait()
 		close(n.exited)
 	}()
-	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(20 * time.Millisecond) {
+	return nil
+}
+
+// awaitReady waits until the health check answers 200, and reports whether it did in time.
+func (n *Node) awaitReady(limit time.Duration) bool {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(20 * time.Millisecond) {
 		resp, err := http.Get("http://" + n.Address + "/_health")
 		if err != nil {
 			continue
@@ -247,11 +271,10 @@
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
 			http.DefaultClient.CloseIdleConnections()
-			return n, nil
+			return true
 		}
 	}
-	n.Kill()
-	return nil, fmt.Errorf("node %s is not ready after 10 s", o.Name)
+	return false
 }
 
 // Terminate sends SIGTERM, as a planned restart does.
