--- a/balancer/estimate.go
+++ b/balancer/estimate.go
@@ -88,6 +88,6 @@
 	// A server that has just failed several times is more likely to fail again than its failure rate in
 	// the error window suggests.
 	streakProbability := 1 - math.Pow(healthyProbabilityPerFailure, float64(s.outlier.consecutiveFailures))
-	streakProbability *= math.Exp(-(b.now - s.timing.outcomeAt) / staleTimeConstant)
+	streakProbability *= exponential(-(b.now - s.timing.outcomeAt) / staleTimeConstant)
 	return max(streakProbability, failed/total)
 }
--- a/balancer/failurerate.go
+++ b/balancer/failurerate.go
@@ -1,7 +1,5 @@
 package balancer
 
-import "math"
-
 const (
 	// failureGain is the fraction by which a failure moves a failure rate toward 1. A single failure
 	// may be chance; two in a row are evidence of a fault.
@@ -42,7 +40,7 @@
 
 // decayed returns the rate at the time now, after exponential decay with the given time constant.
 func (f *failureRate) decayed(now, timeConstant Millis) float64 {
-	return f.rate * math.Exp(-(now-f.updatedAt)/timeConstant)
+	return f.rate * exponential(-(now-f.updatedAt)/timeConstant)
 }
 
 // classFailure returns the failure rate record of a class at this server, which it creates if needed.
--- a/balancer/fairness.go
+++ b/balancer/fairness.go
@@ -1,7 +1,5 @@
 package balancer
 
-import "math"
-
 const (
 	// servedFractionTimeConstant, in ms, is the decay time constant of the served fractions.
 	servedFractionTimeConstant = 30000.0
@@ -18,7 +16,7 @@
 }
 
 func (s *servedFraction) decay(now Millis) {
-	decayFactor := math.Exp(-(now - s.updatedAt) / servedFractionTimeConstant)
+	decayFactor := exponential(-(now - s.updatedAt) / servedFractionTimeConstant)
 	s.requested *= decayFactor
 	s.served *= decayFactor
 	s.updatedAt = now
--- a/balancer/loadestimate.go
+++ b/balancer/loadestimate.go
@@ -68,7 +68,7 @@
 	if b.gossipAlive() {
 		// On average, a gossip message is half an interval old. The time constant of gossip is twice that of
 		// a load report, so the whole interval is used here.
-		gossipWeight := math.Exp(-b.gossip.interval / (gossipTimeConstantUnits * max(1, b.estimate.unitTime)))
+		gossipWeight := exponential(-b.gossip.interval / (gossipTimeConstantUnits * max(1, b.estimate.unitTime)))
 		typical += gossipWeight * (s.gossipedLoad() - typical)
 		s.estimate.uncertainty -= gossipWeight
 	}
@@ -76,7 +76,7 @@
 		return ownRequests + typical
 	}
 	age := b.now - s.load.reportedAt + b.estimate.reportLag
-	reportWeight := math.Exp(-age / (reportTimeConstantUnits * max(1, b.estimate.unitTime)))
+	reportWeight := exponential(-age / (reportTimeConstantUnits * max(1, b.estimate.unitTime)))
 	s.estimate.uncertainty *= 1 - reportWeight
 	return ownRequests + typical + (s.load.others-typical)*reportWeight
 }
@@ -90,7 +90,7 @@
 		return typical
 	}
 	age := b.now - s.load.reportedAt
-	return typical + (s.load.othersAverage-typical)*math.Exp(-age/(othersTimeConstantUnits*b.estimate.unitTime))
+	return typical + (s.load.othersAverage-typical)*exponential(-age/(othersTimeConstantUnits*b.estimate.unitTime))
 }
 
 // serviceRounds returns how many unit times a server that has the given number of requests needs to
--- a/balancer/tenantquota.go
+++ b/balancer/tenantquota.go
@@ -1,7 +1,5 @@
 package balancer
 
-import "math"
-
 const (
 	// tenantRateTimeConstant, in ms, is the decay time constant of the tenants' request rates.
 	tenantRateTimeConstant = 3000.0
@@ -23,7 +21,7 @@
 func (b *Balancer) overQuota(t *tenantState) bool {
 	quota := t.Quota * b.nodeQuotaFraction()
 	t.quota.refill(b.now, quota/msPerSecond, quota)
-	decayFactor := math.Exp(-(b.now - t.rateAt) / tenantRateTimeConstant)
+	decayFactor := exponential(-(b.now - t.rateAt) / tenantRateTimeConstant)
 	t.rate = t.rate*decayFactor + msPerSecond/tenantRateTimeConstant
 	t.rateAt = b.now
 	return !t.quota.take()
@@ -36,7 +34,7 @@
 	rate, quota := 0.0, 0.0
 	for _, tenant := range b.settings.Tenants {
 		state := b.tenants[tenant.Name]
-		rate += state.rate * math.Exp(-(b.now-state.rateAt)/tenantRateTimeConstant)
+		rate += state.rate * exponential(-(b.now-state.rateAt)/tenantRateTimeConstant)
 		quota += tenant.Quota
 	}
 	return min(1, max(1/float64(b.fleet.size), rate/max(1, quota)))
--- a/balancer/unittime.go
+++ b/balancer/unittime.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"sort"
 )
 
@@ -94,7 +93,7 @@
 		return value
 	}
 	typical := b.typicalUnitTime(s)
-	return typical + (value-typical)*math.Exp(-staleFor/staleTimeConstant)
+	return typical + (value-typical)*exponential(-staleFor/staleTimeConstant)
 }
 
 // recordTiming updates the server's latency and unit time, and the fleet's slowdown factor, with the
@@ -110,7 +109,7 @@
 	gain := 1.0 // the first response replaces the initial estimate
 	if timing.measured {
 		// The weight of the previous value decreases with its age.
-		gain = 1 - (1-latencySmoothing)*math.Exp(-(b.now-timing.outcomeAt)/staleTimeConstant)
+		gain = 1 - (1-latencySmoothing)*exponential(-(b.now-timing.outcomeAt)/staleTimeConstant)
 	}
 	timing.latency += gain * (latency - timing.latency)
 	unitTime := b.unitTimeAtFullCapacity(s, elapsed/a.serviceRounds, success)
