--- a/balancer/loadestimate.go
+++ b/balancer/loadestimate.go
@@ -90,7 +90,8 @@
 		return typical
 	}
 	age := b.now - s.load.reportedAt
-	return typical + (s.load.othersAverage-typical)*exponential(-age/(othersTimeConstantUnits*b.estimate.unitTime))
+	fading := exponential(-age / (othersTimeConstantUnits * b.estimate.unitTime))
+	return typical + (s.load.othersAverage-typical)*fading
 }
 
 // serviceRounds returns how many unit times a server that has the given number of requests needs to
