--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -44,6 +44,8 @@
 	settings  string    // empty: testSettings
 	known     []member  // the endpoint list in the configuration
 	sockets   int       // limit of sockets in the configuration; 0: 256
+	memoryMB  int       // memory limit in the configuration; 0: 192
+	cores     float64   // limit of cores in the configuration; 0: 1
 	peers     []string  // the gossip addresses of all nodes, this one included
 	env       []string  // additional environment variables
 	stderr    io.Writer // nil: nodeProcess.log
@@ -104,11 +106,17 @@
 	if opts.sockets == 0 {
 		opts.sockets = 256
 	}
+	if opts.memoryMB == 0 {
+		opts.memoryMB = 192
+	}
+	if opts.cores == 0 {
+		opts.cores = 1
+	}
 	if opts.known == nil {
 		opts.known = []member{}
 	}
 	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": opts.discovery,
-		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": opts.sockets},
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": opts.cores, "memory_mb": opts.memoryMB, "sockets": opts.sockets},
 		"known":    map[string]any{"revision": 0, "complete": true, "members": opts.known},
 		"settings": json.RawMessage(opts.settings), "peers": map[string]any{"nodes": append([]string{}, opts.peers...)}})
 	if err != nil {
--- /dev/null
+++ b/cmd/tackhub/lumps_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// respondInLumps sends a head and then the body in equal lumps with a pause before each but the first. If the encoding is chunked, each lump
+// is a chunk. Otherwise the end of the connection ends the body.
+func respondInLumps(encoding string, body []byte, lumps int, pause time.Duration) behavior {
+	return func(c net.Conn, _ receivedRequest) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+encoding+"\r\n\r\n")
+		isChunked := strings.Contains(encoding, "chunked")
+		size := (len(body) + lumps - 1) / lumps
+		for begin := 0; begin < len(body) && err == nil; begin += size {
+			if begin > 0 {
+				time.Sleep(pause)
+			}
+			lump := body[begin:min(begin+size, len(body))]
+			if isChunked {
+				_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(lump), lump)
+			} else {
+				_, err = c.Write(lump)
+			}
+		}
+		if isChunked && err == nil {
+			_, err = io.WriteString(c, "0\r\n\r\n")
+		}
+		return isChunked && err == nil
+	}
+}
+
+// A server writes a large response of unknown size in lumps, with pauses that reach beyond the request's deadline. The node once allowed such
+// a response a pause of 0.4 s only, however much of it had come, and cut the response off.
+func TestResponseInLumpsIsForwardedComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		encoding string
+		size     int
+		lumps    int
+		pause    time.Duration
+	}{
+		"chunked":                       {"Transfer-Encoding: chunked", 196_608, 4, 900 * time.Millisecond},
+		"until close":                   {"Connection: close", 196_608, 4, 900 * time.Millisecond},
+		"first lump of 47 kB":           {"Transfer-Encoding: chunked", 134_976, 3, 1600 * time.Millisecond},
+		"first lump of 47 kB and close": {"Connection: close", 134_976, 3, 1600 * time.Millisecond},
+		"many lumps of 20 kB":           {"Transfer-Encoding: chunked", 160_000, 8, 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			body := largeBody(test.size)
+			s := startBackend(t, "s1", respondInLumps(test.encoding, body, test.lumps, test.pause))
+			p, _ := startWithBackends(t, "", s)
+			c := p.connect()
+			c.write(request("bill", 390))
+			resp, err := c.read()
+			if err != nil || resp.status != 200 || !bytes.Equal([]byte(resp.body), body) {
+				t.Errorf("received %d of %d bytes after %v, status %d, %v, want the complete body", len(resp.body), len(body), resp.took, resp.status, err)
+			}
+		})
+	}
+}
