Answers of unknown size: a pause of the server no longer cuts off a large one

Cause: Stream.readDeadline allowed an answer of unknown size a pause of 400 ms once the deadline was over, and looked at the announced size alone. However much had come, such an answer was treated as one that may be small.

Why it works: an answer of unknown size counts as large once 16 KiB have come, a quarter of 64 KiB, since servers write large ones in a few lumps; so does any of a class that has had a large answer. What is probably small still ends 0.4 s after its deadline, since it would be lost half a second after it: TestResponseOfClassWithLargeResponsesIsForwardedComplete has both sides. A chunk's announced size is not used: the parser does not show it.

TestReadDeadline demanded 400 ms for 1 MiB of unknown size, which is the fault itself. The row now demands the stall timeout, and rows at both sides of the threshold and for announced 64 KiB are new.

The log line of a server's connection now says how much of a body had come when it was cut off.

--- a/cmd/tackhub/lumps_test.go
+++ b/cmd/tackhub/lumps_test.go
@@ -64,3 +64,22 @@
 		})
 	}
 }
+
+// A server writes the first 2 kB of a response of unknown size and pauses. Such a response may be small, and a small one is lost if it comes
+// half a second late, so it is cut off; but earlier responses of its class were large, and a large one is lost if it is cut off.
+func TestResponseOfClassWithLargeResponsesIsForwardedComplete(t *testing.T) {
+	const pause = 900 * time.Millisecond
+	large := largeBody(100_000)
+	s := startBackend(t, "s1", respond(200, string(large)))
+	p, _ := startWithBackends(t, "", s)
+	if resp := p.mustDo(request("bill", 390)); resp.status != 200 || resp.body != string(large) {
+		t.Fatalf("status %d with %d bytes, want 200 with %d bytes", resp.status, len(resp.body), len(large))
+	}
+	s.setBehavior(respondInLumps("Transfer-Encoding: chunked", large[:4000], 2, pause))
+	if resp, err := p.do(request("bill", 390)); err != nil || len(resp.body) != 4000 {
+		t.Errorf("received %d bytes, %v, want the complete body of 4,000 bytes", len(resp.body), err)
+	}
+	if resp, err := p.do(request("look", 390)); err == nil {
+		t.Errorf("received %d bytes %v after the request, want an error 0.4 s after its deadline at the latest", len(resp.body), resp.took)
+	}
+}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -46,7 +46,7 @@
 // which it is passed must close it.
 type RemainingBody interface {
 	Size() int64           // of the complete body in bytes; -1 if unknown
-	SetDeadline(time.Time) // the time at which the client gives up; called before the first Read, if at all
+	SetDeadline(time.Time) // when the client gives up; called before the first Read, unless the body is expected to be large
 	Read([]byte) (int, error)
 	Close()
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -66,8 +66,9 @@
 	classes map[string]balancer.Class // by name
 	ids     *requestIDs
 
-	schedule atomic.Pointer[drain.Schedule] // nil: no graceful shutdown has begun
-	draining chan struct{}                  // closed when one begins
+	largeResponses largeResponses
+	schedule       atomic.Pointer[drain.Schedule] // nil: no graceful shutdown has begun
+	draining       chan struct{}                  // closed when one begins
 }
 
 // NewHandler returns a Handler for the classes of the options.
@@ -78,6 +79,7 @@
 		ids:      newRequestIDs(),
 		draining: make(chan struct{}),
 	}
+	h.largeResponses = newLargeResponses(o.Classes)
 	for _, c := range o.Classes {
 		h.classes[c.Name] = c
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -89,6 +89,7 @@
 	}
 	s.closed = true
 	s.remaining.Close()
+	s.request.handler.largeResponses.record(s.request.class.Name, s.written)
 	s.request.releaseID()
 	count := &s.request.handler.options.Counters.Bodies
 	if s.complete {
@@ -109,7 +110,9 @@
 		return outcome{status: statusStreamingUnsupported, kind: engine.Failed}
 	}
 	// From here on, the request counts as answered, and only the stream's own timeouts apply.
-	resp.Remaining.SetDeadline(time.Now().Add(clock.Duration(r.deadline - r.handler.options.Clock.Now())))
+	if !r.handler.largeResponses.expected(r.class.Name) {
+		resp.Remaining.SetDeadline(time.Now().Add(clock.Duration(r.deadline - r.handler.options.Clock.Now())))
+	}
 	s := &responseStream{request: r, prefix: resp.Body, remaining: resp.Remaining, conn: conn, buffers: r.handler.options.Bodies}
 	if resp.Remaining.Size() < 0 && !ctx.Request.Header.IsHTTP11() {
 		s.writeHTTP10(ctx)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -16,10 +16,14 @@
 	// arrive, but after a longer pause the server is considered dead.
 	stallTimeout = 5 * time.Second
 
-	// stallTimeoutAfterDeadline is the longest accepted pause in a response of unknown size after the request's deadline. Such
-	// a response may turn out to be small, and a small response counts as lost half a second after the deadline.
+	// stallTimeoutAfterDeadline is the longest accepted pause in a response that is probably small after the request's deadline. A
+	// small response counts as lost half a second after the deadline.
 	stallTimeoutAfterDeadline = 400 * time.Millisecond
 
+	// probablyLargeBytes is how much of a response of unknown size must have come for it to count as large. A large response is lost
+	// if it is cut off during a pause of the server, and servers write large ones in a few lumps.
+	probablyLargeBytes = body.MaxInMemory / 4
+
 	// unknownSize is the size of a body without a Content-Length.
 	unknownSize = -1
 )
@@ -35,14 +39,14 @@
 	bytesRead int64 // bytes of the body read so far
 	ended     bool  // the body was read to its end
 	err       error
-	deadline  time.Time // deadline of the request; zero: unknown
+	deadline  time.Time // deadline of the request; zero: unknown, or the response is expected to be large
 }
 
 // Size returns the size of the whole body in bytes, including the part that was read before the Stream was returned. It is -1
 // if the server did not announce the size.
 func (s *Stream) Size() int64 { return s.size }
 
-// SetDeadline sets the time at which the client stops waiting for the response.
+// SetDeadline sets the time at which the client stops waiting for a response that is not expected to be large.
 func (s *Stream) SetDeadline(t time.Time) { s.deadline = t }
 
 // Read reads the next bytes of the body. It returns io.EOF when the body is complete.
@@ -72,14 +76,13 @@
 	return n, err
 }
 
-// readDeadline returns the time by which the next bytes must arrive. For a body over 64 KiB it depends only on stallTimeout,
-// because the request's deadline applies only to the first bytes of such a body. A body of unknown size may exceed 64 KiB, so it
-// is forwarded even after the request's deadline, but then stallTimeoutAfterDeadline replaces stallTimeout.
+// readDeadline returns the time by which the next bytes must arrive. For a large body it depends only on stallTimeout, because the
+// request's deadline applies only to the first bytes of such a body. Any body of unknown size may be large, so it is forwarded even
+// after the request's deadline, but if it is probably small stallTimeoutAfterDeadline replaces stallTimeout.
 func (s *Stream) readDeadline() time.Time {
 	now := time.Now()
 	latest := now.Add(stallTimeout)
-	large := s.size > body.MaxInMemory
-	if large || s.deadline.IsZero() || s.deadline.After(latest) {
+	if s.isProbablyLarge() || s.deadline.IsZero() || s.deadline.After(latest) {
 		return latest
 	}
 	if minDeadline := now.Add(stallTimeoutAfterDeadline); minDeadline.After(s.deadline) {
@@ -88,6 +91,11 @@
 	return s.deadline
 }
 
+// isProbablyLarge reports whether the body exceeds 64 KiB, or is of unknown size and probably will.
+func (s *Stream) isProbablyLarge() bool {
+	return s.size > body.MaxInMemory || s.size == unknownSize && s.bytesRead >= probablyLargeBytes
+}
+
 // Close returns the connection to the pool if the response was read to its end and the connection can be reused. Otherwise it
 // closes the connection.
 func (s *Stream) Close() {
@@ -97,7 +105,11 @@
 	}
 	s.resp.Reset() // releases the body stream, which reads from the connection
 	fasthttp.ReleaseResponse(s.resp)
-	s.pool.finish(s.conn, reason, s.err)
+	err := s.err
+	if err != nil {
+		err = s.wrapReadError(err)
+	}
+	s.pool.finish(s.conn, reason, err)
 }
 
 // closeReason returns the constant reusable if the connection can be reused, and otherwise the reason for closing it.
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -18,7 +18,10 @@
 		"unknown size, deadline in 1 s":        {Stream{size: -1, bytesRead: 11, deadline: now.Add(time.Second)}, time.Second},
 		"unknown size, deadline in 1 ms":       {Stream{size: -1, bytesRead: 11, deadline: now.Add(time.Millisecond)}, stallTimeoutAfterDeadline},
 		"unknown size, deadline passed":        {Stream{size: -1, bytesRead: 11, deadline: now.Add(-time.Hour)}, stallTimeoutAfterDeadline},
-		"unknown size, deadline passed, 1 MiB": {Stream{size: -1, bytesRead: 1 << 20, deadline: now.Add(-time.Hour)}, stallTimeoutAfterDeadline},
+		"unknown size, deadline passed, 1 MiB": {Stream{size: -1, bytesRead: 1 << 20, deadline: now.Add(-time.Hour)}, stallTimeout},
+		"unknown size, probably large":         {Stream{size: -1, bytesRead: probablyLargeBytes, deadline: now.Add(-time.Hour)}, stallTimeout},
+		"unknown size, probably small":         {Stream{size: -1, bytesRead: probablyLargeBytes - 1, deadline: now.Add(-time.Hour)}, stallTimeoutAfterDeadline},
+		"64 KiB announced, deadline passed":    {Stream{size: 64 << 10, bytesRead: 60 << 10, deadline: now.Add(-time.Hour)}, stallTimeoutAfterDeadline},
 		"1 MiB, deadline in 1 s":               {Stream{size: 1 << 20, deadline: now.Add(time.Second)}, stallTimeout},
 		"1 MiB, deadline passed":               {Stream{size: 1 << 20, deadline: now.Add(-time.Hour)}, stallTimeout},
 	} {
