Answers that the client reads slowly are not cut off by the write timeout

What callers saw: a client that reads a long answer at 64 kB/s had its connection closed by the node (write_failed) although it read all the time.

Cause: a write was given 3 s in all. On a full send buffer the kernel reports free space only when a third of it is free; with a buffer of some 2.5 MB that takes 13 s at 64 kB/s, so the write timed out while the client was acknowledging bytes.

Evidence: TestSlowlyReadResponseIsNotCutOff failed on the code before (client_connection_ends.write_failed 1, large_bodies.broken 1) and passes now. TestStalledClientsAreClosedInTime holds as before.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -183,22 +183,6 @@
 	return unread
 }
 
-// Write writes part of a response. It sets a deadline for this write and records a failure as the close reason.
-func (c *conn) Write(p []byte) (int, error) {
-	deadlineErr := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	n, err := c.Conn.Write(p)
-	err = errors.Join(err, deadlineErr)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err != nil {
-		if c.closeReason == "" {
-			c.server.options.Counters.Requests.Unsent.Inc()
-		}
-		c.setCloseReason(closeWriteFailed)
-	}
-	return n, err
-}
-
 // SetReadDeadline sets the read deadline, unless the node is closing the connection. The HTTP server sets a deadline whenever
 // it begins to read, which must not replace pastDeadline on a connection that is being closed.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
@@ -214,9 +198,6 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// SetWriteDeadline does nothing. Write sets a deadline for each write instead, because a large response may take long in total.
-func (c *conn) SetWriteDeadline(time.Time) error { return nil }
-
 // LastRead returns when the latest bytes arrived.
 func (c *conn) LastRead() time.Time {
 	c.mu.Lock()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -21,9 +21,6 @@
 )
 
 const (
-	// writeTimeout limits one write of a response. A client that receives nothing for that time is no longer reading.
-	writeTimeout = 3 * time.Second
-
 	// idleTimeout is how long a client's connection may be idle. Without it, clients that send one request and stay connected
 	// would occupy a descriptor and buffers indefinitely. The protocol allows closing idle connections after 2 s.
 	idleTimeout = 3 * time.Second
