Answers are not cut off when more clients read slowly than there are buffers

What callers saw: with 230 clients reading long answers at 64 kB/s from a node with 48 MB, 39 answers ended after their head (unexpected EOF after 0 bytes).

Cause: each streamed answer and each large request holds a buffer of 32 KiB for as long as it lasts, of which there are 192. One that came later waited 1.5 s for a buffer and was then given up, after its head had been sent.

--- a/internal/body/file.go
+++ b/internal/body/file.go
@@ -71,17 +71,13 @@
 // Fill copies source into the body until source ends, or until shouldPause returns true for the number of bytes received;
 // another call of Fill then continues. It reports whether the body is complete. It calls onComplete after it has read the
 // last byte and before readers see the body as complete. Both functions may be nil. The errors are ErrTooLarge,
-// ErrNoCapacity, ErrStorage, io.ErrUnexpectedEOF and those of source. After an error the body stays incomplete, and readers
+// ErrStorage, io.ErrUnexpectedEOF and those of source. After an error the body stays incomplete, and readers
 // get the error too.
 func (f *File) Fill(source io.Reader, shouldPause func(received int64) bool, onComplete func()) (complete bool, err error) {
-	buffer, err := f.store.AcquireBuffer()
-	if err != nil {
-		f.end(err)
-		return false, err
-	}
+	buffer := f.store.AcquireBuffer()
 	defer f.store.ReleaseBuffer(buffer)
 	for {
-		n, err := source.Read(buffer[:])
+		n, err := source.Read(buffer)
 		if writeErr := f.append(buffer[:n]); writeErr != nil {
 			f.end(writeErr)
 			return false, writeErr
@@ -172,13 +168,10 @@
 
 // ForEachChunk calls handle for each chunk of the body in order, as the chunks are received. A chunk is valid only during
 // the call. Last marks the last chunk, which is not passed until the body is complete: a server runs a request once it has
-// the last byte, and an incomplete request must not run. The errors are ErrNoCapacity, ErrStorage (also if the body ends
-// before it is complete) and those of handle.
+// the last byte, and an incomplete request must not run. The errors are ErrStorage (also if the body ends before it is complete)
+// and those of handle.
 func (f *File) ForEachChunk(handle func(chunk []byte, last bool) error) error {
-	buffer, err := f.store.AcquireBuffer()
-	if err != nil {
-		return err
-	}
+	buffer := f.store.AcquireBuffer()
 	defer f.store.ReleaseBuffer(buffer)
 	offset := int64(0)
 	for {
@@ -189,7 +182,7 @@
 		if !ended && size == f.announcedSize {
 			size-- // withhold the last byte until the body is complete
 		}
-		n := min(int64(BufferSize), size-offset)
+		n := min(int64(len(buffer)), size-offset)
 		if n == 0 && ended {
 			return nil
 		}
--- a/internal/body/store.go
+++ b/internal/body/store.go
@@ -24,7 +24,7 @@
 	// MaxTransferTime is 1.5 times as long as a body of MaxSize takes at 64 kB/s, the lowest rate at which clients send.
 	MaxTransferTime = MaxSize / 64_000 * 3 / 2 * time.Second
 
-	// maxCapacityWait is how long a body waits for a free file or buffer, while its sender is blocked. After that time it is
+	// maxCapacityWait is how long a body waits for a free file, while its sender is blocked. After that time it is
 	// better to retry the request at another node, and a response that is delayed by 2 s is lost.
 	maxCapacityWait = 1500 * time.Millisecond
 )
@@ -33,8 +33,8 @@
 	// ErrTooLarge is returned for a body larger than MaxSize, and for every body if the store has no directory.
 	ErrTooLarge = errors.New("body too large")
 
-	// ErrNoCapacity is returned if no file or buffer becomes free within 1.5 s.
-	ErrNoCapacity = errors.New("no file or buffer became free for a large body")
+	// ErrNoCapacity is returned if no file becomes free within 1.5 s.
+	ErrNoCapacity = errors.New("no file became free for a large body")
 
 	// ErrStorage is returned if the file of a body cannot be written or read, or if a reader finds the body incomplete.
 	ErrStorage = errors.New("cannot store or read back body")
@@ -44,12 +44,12 @@
 type Store struct {
 	dir         string
 	fileSlots   chan struct{} // semaphore, one element for each file in use
-	bufferSlots chan struct{} // semaphore, one element for each buffer in use
+	bufferSlots chan struct{} // semaphore, one element for each buffer of BufferSize in use
 	pool        sync.Pool     // of *[BufferSize]byte
 	count       *counters.Bodies
 }
 
-// New returns a Store that uses up to maxFiles files and maxBuffers buffers at a time. Files are created in dir. If dir is
+// New returns a Store that uses up to maxFiles files and maxBuffers buffers of BufferSize at a time. Files are created in dir. If dir is
 // empty, large request bodies are rejected.
 func New(dir string, maxFiles, maxBuffers int, count *counters.Bodies) *Store {
 	return &Store{
@@ -69,23 +69,6 @@
 	return MaxSize
 }
 
-// AcquireBuffer waits up to 1.5 s for a free buffer and returns it. The caller must pass it to ReleaseBuffer after use. The
-// only error is ErrNoCapacity.
-func (s *Store) AcquireBuffer() (*[BufferSize]byte, error) {
-	if !s.acquire(s.bufferSlots) {
-		return nil, ErrNoCapacity
-	}
-	s.count.Buffers.Inc()
-	return s.pool.Get().(*[BufferSize]byte), nil
-}
-
-// ReleaseBuffer returns a buffer to the store.
-func (s *Store) ReleaseBuffer(buffer *[BufferSize]byte) {
-	s.pool.Put(buffer)
-	s.count.Buffers.Add(-1)
-	<-s.bufferSlots
-}
-
 // acquire takes a slot of a semaphore. It returns false if none becomes free within maxCapacityWait.
 func (s *Store) acquire(slots chan struct{}) bool {
 	select {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -54,13 +54,14 @@
 
 // Bodies counts the resources that large bodies use.
 type Bodies struct {
-	Files     Count `json:"files"`      // temporary files of requests now
-	FileBytes Count `json:"file_bytes"` // bytes in these files
-	Buffers   Count `json:"buffers"`    // buffers of 32 KiB in use now
-	Waited    Count `json:"waited"`     // times a sender waited for a free file or buffer
-	Refused   Count `json:"refused"`    // times no file or buffer became free in time
-	Forwarded Count `json:"passed"`     // large responses that were forwarded completely
-	Truncated Count `json:"broken"`     // large responses that were cut off
+	Files        Count `json:"files"`         // temporary files of requests now
+	FileBytes    Count `json:"file_bytes"`    // bytes in these files
+	Buffers      Count `json:"buffers"`       // buffers of 32 KiB in use now
+	SmallBuffers Count `json:"small_buffers"` // smaller buffers in use now, since all of 32 KiB were in use
+	Waited       Count `json:"waited"`        // times a sender waited for a free file
+	Refused      Count `json:"refused"`       // times no file became free in time
+	Forwarded    Count `json:"passed"`        // large responses that were forwarded completely
+	Truncated    Count `json:"broken"`        // large responses that were cut off
 }
 
 // Handover counts messages between two processes of a node. All are 0 without a handover.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -51,13 +51,10 @@
 	if s.remaining.Size() >= 0 {
 		w = s.conn
 	}
-	b, err := s.buffers.AcquireBuffer()
-	if err != nil {
-		return 0, err
-	}
+	b := s.buffers.AcquireBuffer()
 	defer s.buffers.ReleaseBuffer(b)
 	for {
-		n, err := s.Read(b[:])
+		n, err := s.Read(b)
 		if n > 0 {
 			m, writeErr := w.Write(b[:n])
 			s.written += int64(m)
