A request that may have run does not run again when its id comes again

What callers saw: an unsafe request whose client left after 40 ms and came again with the same id ran twice, 10 of 10, and the second was answered 200; with two processes of an upgrade one id ran up to four times, and a successor ran what its predecessor had run.

Cause: requestIDs knew only the ids of open requests and freed an id as soon as its request had ended for the node, here and for the sibling process. Its server was still working on it, or had finished.

Why it works: an id of a request that was routed and must not run twice is kept for at least a minute after its end, in two generations of at most 32,768 hashes (2 MB), unless the balancer rejected the request as harmless. A repeat gets 409 (id_repeated), which promises nothing. A sibling process is told whether a closed request may have run, gets the hashes of all earlier ones when the link comes up, and a successor gets them with the state before it serves; when a sibling ends, the ids that it had open count as run. Messages of versions without the new fields mean 'may have run'.

TestRepeatedIDOfInFlightRequestIsRejected demanded that an unsafe id runs a second time once the first request has ended, which is the fault. It now has a row for each effect: a safe one may come again, the others are rejected and run once.

Open: the same id that arrives at both processes of an upgrade within the time of one message between them.

--- a/cmd/tackhub/badrequest_test.go
+++ b/cmd/tackhub/badrequest_test.go
@@ -100,26 +100,34 @@
 }
 
 // A second client sends a request with the ID of a request in flight. The node must reject the second request and serve
-// the first; afterwards the ID can be used again.
+// the first. Afterwards the ID can be used again for a request that may run twice, and is rejected for any other: it once ran again.
 func TestRepeatedIDOfInFlightRequestIsRejected(t *testing.T) {
-	gate := make(chan struct{})
-	s := startBackend(t, "s1", respondAfter(gate, respond(200, "done")))
-	p, _ := startWithBackends(t, "", s)
-	raw := request("bill", 1500)
-	first := p.send(raw)
-	eventually(t, "the first request at the server", func() bool { return len(s.requests()) == 1 })
-	if resp := p.mustDo(raw); resp.status != 409 || !resp.closesConn {
-		t.Errorf("second request: status %d, closes the connection: %v, want 409 and a close", resp.status, resp.closesConn)
-	}
-	close(gate)
-	if resp := await(t, "the first request", first); resp.status != 200 {
-		t.Errorf("first request: status %d, want 200", resp.status)
-	}
-	if resp := p.mustDo(raw); resp.status != 200 {
-		t.Errorf("request after the first has ended: status %d, want 200", resp.status)
-	}
-	if n := len(s.requests()); n != 2 {
-		t.Errorf("the server received %d requests, want 2", n)
+	for class, test := range map[string]struct{ statusAfterwards, runs int }{
+		"look":  {200, 2},
+		"bill":  {409, 1},
+		"store": {409, 1},
+	} {
+		t.Run(class, func(t *testing.T) {
+			gate := make(chan struct{})
+			s := startBackend(t, "s1", respondAfter(gate, respond(200, "done")))
+			p, _ := startWithBackends(t, "", s)
+			raw := request(class, 1500)
+			first := p.send(raw)
+			eventually(t, "the first request at the server", func() bool { return len(s.requests()) == 1 })
+			if resp := p.mustDo(raw); resp.status != 409 || !resp.closesConn {
+				t.Errorf("second request: status %d, closes the connection: %v, want 409 and a close", resp.status, resp.closesConn)
+			}
+			close(gate)
+			if resp := await(t, "the first request", first); resp.status != 200 {
+				t.Errorf("first request: status %d, want 200", resp.status)
+			}
+			if resp := p.mustDo(raw); resp.status != test.statusAfterwards {
+				t.Errorf("request after the first has ended: status %d, want %d", resp.status, test.statusAfterwards)
+			}
+			if n := len(s.requests()); n != test.runs {
+				t.Errorf("the server received %d requests, want %d", n, test.runs)
+			}
+		})
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -76,4 +76,6 @@
 	Drained       *bool           `json:"drained,omitempty"` // an administrative drain began (true) or ended (false)
 	RequestOpened string          `json:"opened,omitempty"`  // id of a received request
 	RequestClosed string          `json:"closed,omitempty"`  // id of a request that has ended
+	NotRun        bool            `json:"not_run,omitempty"` // the closed request cannot have run, or may run again
+	RequestsRan   []uint64        `json:"ran,omitempty"`     // hashes of the ids of requests that may have run
 }
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -34,6 +34,8 @@
 	// ClockZero is the predecessor's time, in Unix milliseconds, at which the machine's monotonic clock
 	// was 0. It is 0 if the predecessor could not read that clock or has an earlier version.
 	ClockZero float64 `json:"clock_zero_ms,omitempty"`
+	// RanRequests are hashes of the ids of ended requests that may have run.
+	RanRequests []uint64 `json:"ran,omitempty"`
 }
 
 // listKnown reports whether the predecessor had a list of discovery. That list may be empty: then all servers have been withdrawn.
@@ -104,6 +106,7 @@
 	if state == nil {
 		return
 	}
+	u.node.handler.AddRanRequests(state.RanRequests)
 	if len(state.Balancer.Servers) > 0 {
 		state.adjustClock(u.node.clock)
 		u.node.transferredState.Store(&state.Balancer)
@@ -140,7 +143,7 @@
 		return
 	}
 	u.log.Info("serving alongside the predecessor", "code", "handover")
-	u.node.handler.PublishRequestIDs(u.sendRequestID)
+	u.node.handler.SetIDListener(u)
 	u.node.background.Go(func() { u.receiveFromPredecessor(ctx) })
 }
 
@@ -169,13 +172,17 @@
 	if !present {
 		u.successorServes.Store(false)
 		u.node.ingress.SetSuccessor(false)
-		u.node.handler.PublishRequestIDs(nil)
+		u.node.handler.SetIDListener(nil)
 	}
 }
 
 // State returns the state that is transferred to the successor.
 func (u *upgrade) State() (json.RawMessage, error) {
-	state := handoverState{List: u.node.discovery.List(), Drained: u.node.ingress.AdminDraining()}
+	state := handoverState{
+		List:        u.node.discovery.List(),
+		Drained:     u.node.ingress.AdminDraining(),
+		RanRequests: u.node.handler.RanRequests(),
+	}
 	if monotonicZero, err := u.node.clock.MonotonicZero(); err == nil {
 		state.ClockZero = monotonicZero
 	}
@@ -189,16 +196,18 @@
 func (u *upgrade) SuccessorReady() {
 	u.successorServes.Store(true)
 	u.node.ingress.SetSuccessor(true)
-	u.node.handler.PublishRequestIDs(u.sendRequestID)
+	u.node.handler.SetIDListener(u)
 }
 
 // HandleMessage handles a message of the sibling process.
 func (u *upgrade) HandleMessage(m handover.Message) {
 	switch {
 	case m.RequestOpened != "":
-		u.node.handler.TrackSiblingRequestID(m.RequestOpened, true)
+		u.node.handler.OpenSiblingRequest(m.RequestOpened)
 	case m.RequestClosed != "":
-		u.node.handler.TrackSiblingRequestID(m.RequestClosed, false)
+		u.node.handler.CloseSiblingRequest(m.RequestClosed, !m.NotRun)
+	case len(m.RequestsRan) > 0:
+		u.node.handler.AddRanRequests(m.RequestsRan)
 	case m.Drained != nil && *m.Drained:
 		u.node.ingress.BeginAdminDrain()
 	case m.Drained != nil:
@@ -206,13 +215,18 @@
 	}
 }
 
-// sendRequestID queues a message for the sibling process that the request with this id was opened or has
-// ended. It does not block.
-func (u *upgrade) sendRequestID(id string, open bool) {
-	if open {
-		u.enqueue(handover.Message{RequestOpened: id})
-	} else {
-		u.enqueue(handover.Message{RequestClosed: id})
+// RequestOpened implements proxy.IDListener.
+func (u *upgrade) RequestOpened(id string) { u.enqueue(handover.Message{RequestOpened: id}) }
+
+// RequestClosed implements proxy.IDListener.
+func (u *upgrade) RequestClosed(id string, ran bool) {
+	u.enqueue(handover.Message{RequestClosed: id, NotRun: !ran})
+}
+
+// RequestsRan implements proxy.IDListener.
+func (u *upgrade) RequestsRan(hashes []uint64) {
+	if len(hashes) > 0 {
+		u.enqueue(handover.Message{RequestsRan: hashes})
 	}
 }
 
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -6,6 +6,9 @@
 	"tackhub.example/tackhub/balancer"
 )
 
+// statusIDConflict is the status of a request whose id belongs to another request. It doesn't say that a retry is harmless.
+const statusIDConflict = fasthttp.StatusConflict
+
 // Rejection is the reason why a request is not processed.
 type Rejection struct {
 	Status int    // of the response
@@ -32,8 +35,8 @@
 	if rejected := r.handler.rejectIfDraining(); rejected != nil {
 		return rejected
 	}
-	if !r.claimID() {
-		return &Rejection{fasthttp.StatusConflict, "id_in_use"}
+	if rejected := r.claimID(); rejected != nil {
+		return rejected
 	}
 	if class.TotalTimeout > 0 { // the class limits how long its clients wait
 		timeout = min(timeout, class.TotalTimeout)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -104,7 +104,9 @@
 		r.reject(ctx, rejected)
 		return
 	}
+	r.ran = true // if processing panics
 	o := r.process(ctx)
+	r.ran = r.mustNotRunAgain(o)
 	streaming = o.stream != nil
 	r.finish(ctx, o)
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -20,6 +20,7 @@
 	ticket   engine.Ticket
 	routed   bool            // submitted to the engine; ticket is valid
 	claimed  bool            // its id is in the handler's set of open ids
+	ran      bool            // it must not run again: see mustNotRunAgain
 	timeout  balancer.Millis // how long the client waits after the request's last byte
 	deadline balancer.Millis // when the client gives up, or earlier during a shutdown
 
@@ -78,6 +79,18 @@
 	}
 }
 
+// mustNotRunAgain reports whether the request may have run and must not run twice, given its outcome. Without a response of the balancer it
+// is not known whether an attempt was sent.
+func (r *request) mustNotRunAgain(o outcome) bool {
+	switch {
+	case !r.routed || o.rejectCode != "" || r.class.Idempotency == balancer.Idempotent:
+		return false
+	case o.kind == engine.Rejected: // the balancer rejects a request that may have run only if its servers drop repeats by its key
+		return r.class.Idempotency == balancer.IdempotentWithKey
+	}
+	return true
+}
+
 // discard closes the rest of a response that is not sent to the client.
 func discard(resp engine.Response) {
 	if resp.Remaining != nil {
