No attempt begins after a close that lies behind unread bytes

What callers saw: a client sends a request and 8 MB behind it, and closes 50 ms later; further attempts for the request began more than 0.1 s after the close, 5 of 5 with FIN (0 of 5 with RST, which is seen).

Cause: the end of a stream comes behind its bytes. When the receive window is full the client's kernel holds the rest back and the end with it, so that neither peeking nor the state of the socket shows a close.

Why it works: where at least half of the smallest window lies unread and the window is not larger than that, no close can be seen. Each look at the connection, and each read that empties it, records that one could have been; an attempt whose client was last seen so more than 50 ms ago is not sent, and the request ends as that of a client that has left (client_unseen). It does not apply while the request's own body is still coming, whose bytes the unread ones are.

Evidence: TestNoAttemptBeginsAfterCloseBehindUnreadBytes failed on the code before (5 attempts) and passes three times over. TestPipelinedRequestsDoNotBeginAfterCloseBehindUnreadBytes is new and passes with and without the change.

--- a/cmd/tackhub/closebehindunread_test.go
+++ b/cmd/tackhub/closebehindunread_test.go
@@ -42,3 +42,35 @@
 		t.Errorf("%d attempts began more than %v after the close, want 0", n, maxStartAfterClose)
 	}
 }
+
+// A client sends many requests at once, does not read the answers, and closes the connection while the node handles the first of them. The
+// node must not go on with the next requests for as long as there are unread bytes before the close.
+func TestPipelinedRequestsDoNotBeginAfterCloseBehindUnreadBytes(t *testing.T) {
+	var closedAt atomic.Int64 // Unix nanoseconds; 0: still open
+	var late atomic.Int64
+	s := startBackend(t, "s1", func(c net.Conn, req receivedRequest) bool {
+		if closed := closedAt.Load(); closed > 0 && time.Since(time.Unix(0, closed)) > maxStartAfterClose {
+			late.Add(1)
+		}
+		time.Sleep(30 * time.Millisecond)
+		return respond(200, "done")(c, req)
+	})
+	p, _ := startWithBackends(t, "", s)
+	for range 3 {
+		closedAt.Store(0)
+		received := len(s.requests())
+		var all strings.Builder
+		for range 4000 { // 800 kB
+			all.WriteString(request("bill", 60_000))
+		}
+		c := p.connect()
+		go func() { _, _ = c.Write([]byte(all.String())) }()
+		eventually(t, "the first request at the server", func() bool { return len(s.requests()) > received })
+		closedAt.Store(time.Now().UnixNano())
+		c.disconnect(false)
+		time.Sleep(time.Second)
+	}
+	if n := late.Load(); n > 0 {
+		t.Errorf("%d attempts began more than %v after the close, want 0", n, maxStartAfterClose)
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -51,6 +51,9 @@
 	requestBegan time.Time // arrival of the current request's first byte; for the first request, when the connection was accepted
 	requests     int       // requests whose head was read
 
+	seenOpen  time.Time // when the client's close, had there been one, was last visible
+	endUnseen bool      // the client may have closed the connection, which could not be seen
+
 	tracked        []trackedRequest // requests whose responses are not yet completely written to the kernel
 	responseBroken bool             // a response was aborted before its end
 
@@ -65,7 +68,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	return &conn{
+	c := &conn{
 		Conn:         tcpConn,
 		raw:          raw,
 		server:       s,
@@ -73,8 +76,24 @@
 		requestBegan: now,
 		idleSince:    now,
 		lastRead:     now,
+		seenOpen:     now,
 		idle:         true,
-	}, nil
+	}
+	if err := raw.Control(c.checkBacklog); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// checkBacklog corrects seenOpen for a connection that was accepted late, with so many unread bytes that its client may have closed it.
+func (c *conn) checkBacklog(fd uintptr) {
+	if !closeMayBeUnseen(fd) {
+		return
+	}
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err == nil {
+		c.seenOpen = c.opened.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+	}
 }
 
 // Read records when bytes arrive and, if reading ends, the reason why.
@@ -84,13 +103,17 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.mayHavePendingRequest() && c.hasUnread() {
 		n, err = c.readPendingRequest(p, n, err)
 	}
-	arrived := time.Now()
+	now := time.Now()
+	arrived := now
 	if n > 0 {
-		arrived = arrived.Add(-c.kernelBufferTime())
+		arrived = now.Add(-c.kernelBufferTime())
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
+		if n < len(p) { // nothing is left unread, so a close would have been seen
+			c.seenOpen = now
+		}
 		c.recordArrival(arrived)
 		return n, err
 	}
--- a/internal/ingress/disconnect.go
+++ b/internal/ingress/disconnect.go
@@ -5,9 +5,24 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"tackhub.example/tackhub/internal/socket"
 )
 
+const (
+	// minUnseenBytes is how much of a client's bytes must lie unread for its close to be possibly unseen: half of the smallest receive
+	// window. A sender may hold further bytes back until it can send half of a window.
+	minUnseenBytes = 32 << 10
+
+	// maxUnseenWindow is the receive window, in bytes, from which on a close is seen even if much lies unread.
+	maxUnseenWindow = 64 << 10
+
+	// maxUnseenTime is how long after a close was last visible an attempt may begin. An attempt must not begin more than 0.1 s after the
+	// close; the rest is left for the time until its last byte is written.
+	maxUnseenTime = 50 * time.Millisecond
+)
+
 // peekResult is the state of a connection's receive buffer.
 type peekResult int
 
@@ -30,11 +45,55 @@
 	return peekClosed
 }
 
-// Disconnected reports whether the client has closed the connection.
+// Disconnected reports whether the client has closed the connection, or may have closed it more than maxUnseenTime ago.
 func (c *conn) Disconnected() bool {
 	result := peekNoData
-	err := c.raw.Control(func(fd uintptr) { result = peek(fd) })
-	return err != nil || result == peekClosed
+	closeUnseen := false
+	err := c.raw.Control(func(fd uintptr) {
+		result = peek(fd)
+		closeUnseen = result == peekData && closeMayBeUnseen(fd)
+	})
+	if err != nil || result == peekClosed {
+		return true
+	}
+	return c.recordObservation(time.Now(), closeUnseen)
+}
+
+// recordObservation records whether a close by the client could be seen at the given time. It returns true if none could be seen for
+// maxUnseenTime, and then ends the watch for a disconnect. While the body of a request is still coming, the unread bytes are its own, and
+// no attempt can begin before they are read.
+func (c *conn) recordObservation(now time.Time, closeUnseen bool) (mayBeClosed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !closeUnseen {
+		c.seenOpen = now
+		return false
+	}
+	if c.uploading || now.Sub(c.seenOpen) <= maxUnseenTime {
+		return false
+	}
+	c.setCloseReason(closeClientUnseen)
+	c.endUnseen = true
+	_ = c.Conn.SetReadDeadline(pastDeadline) // ends the pending read of WatchDisconnect
+	return true
+}
+
+// mayBeClosed reports whether recordObservation has found that the client may have closed the connection.
+func (c *conn) mayBeClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endUnseen
+}
+
+// closeMayBeUnseen reports whether so much lies unread on a connection that the client may have to hold further bytes back, and its close
+// with them.
+func closeMayBeUnseen(fd uintptr) bool {
+	unread, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+	if err != nil || unread < minUnseenBytes {
+		return false
+	}
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err != nil || info.Rcv_wnd < maxUnseenWindow // kernels before 6.2 do not tell the window: it is 0 then
 }
 
 // WatchDisconnect returns a channel that is closed when the client closes the connection, and a function that stops the watch.
@@ -51,7 +110,7 @@
 			result = peek(fd)
 			return result == peekClosed
 		})
-		if err == nil && result == peekClosed {
+		if err == nil && result == peekClosed || c.mayBeClosed() {
 			close(disconnected)
 		}
 	}()
--- a/internal/ingress/requestbody.go
+++ b/internal/ingress/requestbody.go
@@ -122,7 +122,8 @@
 	if size >= 0 {
 		shouldPause = reader.completesSoon(size)
 	}
-	_, err = file.Fill(io.MultiReader(bytes.NewReader(prefix), reader), shouldPause, nil)
+	complete, err := file.Fill(io.MultiReader(bytes.NewReader(prefix), reader), shouldPause, nil)
+	c.setUploading(err == nil && !complete)
 	return err
 }
 
