The time of a stalled upload does not count as its server's

What callers saw: while other clients' uploads stalled and ended, ordinary requests were rejected with 503 although the server was idle.

Cause: a large request is forwarded from half a second before its expected end. If its client stops, the attempt is cancelled when the client leaves or is given up, and the engine reported the whole time since the attempt's start as elapsed. The balancer takes a cancelled attempt for an answer that did not come in that time, and raised the server's unit time.

Evidence: TestStalledUploadDoesNotMakeServerSlow failed on the code before (the second request after the first stalled upload, 503) and passes now. server_health at the first rejection in a run under load: unit_time_ms 371, no failures, 1 in flight.

Why it works: as long as the body is being uploaded no server has the request, so the elapsed time is 0, which the balancer takes for no evidence; from the end of the body it counts as before, as the engine's comment on BodyReceived says. The balancer is unchanged.

--- a/internal/engine/pending.go
+++ b/internal/engine/pending.go
@@ -142,7 +142,16 @@
 		return
 	}
 	a.handle.Abort()
-	e.completeAttempt(a, Completion{Outcome: balancer.Cancelled, Elapsed: e.clock.Now() - a.sentAt})
+	e.completeAttempt(a, Completion{Outcome: balancer.Cancelled, Elapsed: e.elapsed(a)})
+}
+
+// elapsed returns for how long a server has had an attempt. While the body is being uploaded, the server does not have the request yet:
+// the time that the client takes must not count as the server's.
+func (e *Engine) elapsed(a *attempt) balancer.Millis {
+	if a.request.bodyPending {
+		return 0
+	}
+	return e.clock.Now() - a.sentAt
 }
 
 // completeAttempt records the end of an attempt. The first successful attempt answers the client.
