One account for the memory that clients and servers cause, charged before it is used

What callers saw: with hundreds of clients that wrote slowly, stopped half way through a request or sent heads of many short fields, a process with 48 MB reached 61 to 151 MB (files under TMPDIR counted) and was killed; while files were short, a large request with 390 ms was answered after 1.5 s.

Cause: each thing had a limit of its own (connections by descriptors, files and buffers by number) and nobody added them up. A descriptor was taken to cost what a plain request costs; a head of 7.8 kB with 1,900 fields costs some 150 kB once parsed, and fasthttp parses the first part of a head before it is complete. Waits for a file took 1.5 s whatever the request's time.

Change: internal/memory charges connections, heads, bodies as they come, files as they are written, buffers and answers before they are used. When it is spent, requests that stalled for 0.3 s end with 503, then idle connections; the rest waits for half of its client's time, 1.5 s at most. Heads are read whole before they are parsed and have 100 fields at most (431). The collector's limit goes down with the size of files. A body is no longer kept beside its forwarded copy. Gauges by purpose (memory in /_counters), the log line memory_short, the codes memory_limit and too_many_fields.

--- a/cmd/tackhub/harness_test.go
+++ b/cmd/tackhub/harness_test.go
@@ -60,6 +60,8 @@
 	log    *logBuffer
 	done   chan struct{} // closed when the process has exited
 	err    error         // the result of Wait, valid after done is closed
+
+	suspension sync.Mutex // held while the process is suspended by whileSuspended
 }
 
 // logBuffer stores the log output of a node; it is safe for concurrent use.
@@ -225,14 +227,24 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-// suspended reports whether all threads of the process are stopped, as after SIGSTOP.
+// suspended reports whether all threads of the process are stopped, as after SIGSTOP. The state of the process is that of its first
+// thread only; others may run on for a moment.
 func (p *nodeProcess) suspended() bool {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		p.t.Fatal(err)
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(paths) == 0 {
+		p.t.Fatalf("cannot list the threads of the node: %v", err)
+	}
+	for _, path := range paths {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
 	}
-	_, state, _ := strings.Cut(string(stat), ") ")
-	return strings.HasPrefix(state, "T")
+	return true
 }
 
 // logCount returns how often a text occurs in the node's log.
--- a/cmd/tackhub/memorylimit_test.go
+++ b/cmd/tackhub/memorylimit_test.go
@@ -19,6 +19,21 @@
 	return postHead(fmt.Sprintf("Content-Length: %d", announced)) + strings.Repeat("x", sent)
 }
 
+// The parts of requests that the clients of a test send, by the number of the client.
+var (
+	unfinishedHead = func(int) string { return manyShortFields() }
+	completeHead   = func(int) string { return manyShortFields() + "\r\n" }
+	halfSmallBody  = func(int) string { return partOfBody(65_000, 64_000) }
+	halfLargeBody  = func(int) string { return partOfBody(8<<20, 4<<20) }
+	longField      = func(int) string {
+		return strings.TrimSuffix(request("look", 1400, "X-Long: "+strings.Repeat("x", 7000)), "\r\n")
+	}
+	everyKind = func(i int) string {
+		kinds := []func(int) string{unfinishedHead, completeHead, halfSmallBody, halfLargeBody, longField}
+		return kinds[i%len(kinds)](i)
+	}
+)
+
 // pressureTime is how long the clients of a test stay connected: longer than the node waits for the rest of a request.
 const pressureTime = 4 * time.Second
 
@@ -29,22 +44,27 @@
 		clients           int
 		sockets, memoryMB int
 		request           func(i int) string
+		quarterCore       bool
 	}{
-		"unfinished heads of short fields": {450, 1024, leastMemoryMB, func(int) string { return manyShortFields() }},
-		"complete heads of short fields":   {450, 1024, leastMemoryMB, func(int) string { return manyShortFields() + "\r\n" }},
-		"half of small bodies":             {450, 1024, leastMemoryMB, func(int) string { return partOfBody(65_000, 64_000) }},
-		"half of 40 large bodies":          {40, 1024, leastMemoryMB, func(int) string { return partOfBody(8<<20, 4<<20) }},
-		"half of 200 large bodies":         {200, 1024, leastMemoryMB, func(int) string { return partOfBody(8<<20, 4<<20) }},
-		"heads and bodies, 256 descriptors": {220, 256, leastMemoryMB, func(i int) string {
-			return []string{manyShortFields(), partOfBody(65_000, 64_000)}[i%2]
-		}},
-		"unfinished heads, 192 MB": {900, 2048, 192, func(int) string { return manyShortFields() }},
+		"unfinished heads of short fields": {450, 1024, leastMemoryMB, unfinishedHead, false},
+		"complete heads of short fields":   {450, 1024, leastMemoryMB, completeHead, false},
+		"half of small bodies":             {450, 1024, leastMemoryMB, halfSmallBody, false},
+		"half of 40 large bodies":          {40, 1024, leastMemoryMB, halfLargeBody, false},
+		"half of 200 large bodies":         {200, 1024, leastMemoryMB, halfLargeBody, false},
+		"everything, 256 descriptors":      {220, 256, leastMemoryMB, everyKind, false},
+		"unfinished heads, 192 MB":         {900, 2048, 192, unfinishedHead, false},
+		"quarter core, unfinished heads":   {450, 1024, leastMemoryMB, unfinishedHead, true},
+		"quarter core, half large bodies":  {200, 1024, leastMemoryMB, halfLargeBody, true},
+		"quarter core, everything":         {450, 1024, leastMemoryMB, everyKind, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := startBackend(t, "s1", respond(200, "done"))
 			d := startDiscoveryServer(t, members(s))
 			p := startNode(t, nodeOptions{discovery: d.addr, sockets: test.sockets, memoryMB: test.memoryMB, env: []string{"TMPDIR=" + t.TempDir()}})
 			eventually(t, "the first discovery watch", func() bool { return d.watchCount() > 0 })
+			if test.quarterCore {
+				p.throttle()
+			}
 			peakMemory := watchMemory(t, p)
 			traffic, stopTraffic := p.startOrdinaryTraffic()
 			for i := range test.clients {
--- a/cmd/tackhub/pressure_test.go
+++ b/cmd/tackhub/pressure_test.go
@@ -50,14 +50,21 @@
 // throttle limits the node to a quarter of a core until the test ends.
 func (p *nodeProcess) throttle() {
 	stop := repeatUntilStopped(func() {
-		_ = p.cmd.Process.Signal(syscall.SIGSTOP) // fails only after the exit of the process
-		time.Sleep(throttleStopped)
-		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		p.whileSuspended(func() { time.Sleep(throttleStopped) })
 		time.Sleep(throttlePeriod - throttleStopped)
 	})
 	p.t.Cleanup(stop)
 }
 
+// whileSuspended suspends the node, calls f and resumes the node.
+func (p *nodeProcess) whileSuspended(f func()) {
+	p.suspension.Lock()
+	defer p.suspension.Unlock()
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // fails only after the exit of the process
+	f()
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // memoryPeak is the most memory that a node has used: resident memory, and files in its $TMPDIR, which count as memory.
 type memoryPeak struct {
 	total, resident, files float64 // MB; resident and files at the time of total
@@ -68,14 +75,12 @@
 	t.Helper()
 	var peak memoryPeak
 	end := repeatUntilStopped(func() {
-		var now memoryPeak
-		for _, p := range processes {
-			now.resident += float64(residentKB(t, p.cmd.Process.Pid)) / 1024
-			now.files += p.deletedFilesMB()
-		}
-		now.total = now.resident + now.files
-		if now.total > peak.total {
-			peak = now
+		if measureMemory(t, processes).total > peak.total {
+			// Files that are replaced during a measurement count twice. A new peak is therefore measured again while nothing changes.
+			now := measureSuspended(t, processes)
+			if now.total > peak.total {
+				peak = now
+			}
 		}
 		time.Sleep(memorySampleInterval)
 	})
@@ -85,6 +90,35 @@
 	}
 }
 
+// measureMemory measures the memory of the processes of a node.
+func measureMemory(t *testing.T, processes []*nodeProcess) memoryPeak {
+	t.Helper()
+	var now memoryPeak
+	for _, p := range processes {
+		now.resident += float64(residentKB(t, p.cmd.Process.Pid)) / 1024
+		now.files += p.deletedFilesMB()
+	}
+	now.total = now.resident + now.files
+	return now
+}
+
+// measureSuspended measures the memory of the processes of a node while all of them are suspended.
+func measureSuspended(t *testing.T, processes []*nodeProcess) (now memoryPeak) {
+	t.Helper()
+	measure := func() { now = measureMemory(t, processes) }
+	for _, p := range processes {
+		inner := measure
+		measure = func() {
+			p.whileSuspended(func() {
+				eventually(t, "the suspension", p.suspended)
+				inner()
+			})
+		}
+	}
+	measure()
+	return now
+}
+
 // deletedFilesMB returns the size of the files that the process has open and that have no name any more.
 func (p *nodeProcess) deletedFilesMB() float64 {
 	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
--- a/internal/body/file.go
+++ b/internal/body/file.go
@@ -6,6 +6,9 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"tackhub.example/tackhub/internal/memory"
 )
 
 // File holds the body of a request in an unnamed file. One goroutine fills it with Fill while others may already read it
@@ -13,7 +16,9 @@
 type File struct {
 	store         *Store
 	file          *os.File
-	announcedSize int64 // bytes; -1 if unknown
+	announcedSize int64         // bytes; -1 if unknown
+	mayWait       time.Duration // for memory, in all
+	charged       int64         // bytes charged to the store's account
 	refCount      atomic.Int64
 
 	mu      sync.Mutex
@@ -23,16 +28,16 @@
 	changed chan struct{} // closed and replaced when size grows; closed when the body ends
 }
 
-// Create returns an empty body. Size is the size in bytes that the sender announced, or -1 if it announced none. Create
-// waits up to 1.5 s for a free file. The errors are ErrTooLarge, ErrNoCapacity and ErrStorage.
-func (s *Store) Create(size int64) (*File, error) {
+// Create returns an empty body. Size is the size in bytes that the sender announced, or -1 if it announced none. Create waits up to
+// maxWait for a free file, and Fill as long in all for memory. The errors are ErrTooLarge, ErrNoCapacity and ErrStorage.
+func (s *Store) Create(size int64, maxWait time.Duration) (*File, error) {
 	if s.dir == "" || size > MaxSize {
 		return nil, ErrTooLarge
 	}
-	if !s.acquire(s.fileSlots) {
+	if !s.memory.CanEverFit(memory.RequestFiles, size) || !s.acquireFile(maxWait) {
 		return nil, ErrNoCapacity
 	}
-	f := &File{store: s, announcedSize: size, changed: make(chan struct{})}
+	f := &File{store: s, announcedSize: size, mayWait: maxWait, changed: make(chan struct{})}
 	f.refCount.Store(1)
 	s.count.Files.Inc()
 	if err := f.create(); err != nil {
@@ -63,6 +68,7 @@
 	if f.file != nil {
 		_ = f.file.Close() // the file has no name, so the kernel deletes it
 	}
+	f.store.memory.Release(memory.RequestFiles, f.charged)
 	f.store.count.FileBytes.Add(-f.size)
 	f.store.count.Files.Add(-1)
 	<-f.store.fileSlots
@@ -71,7 +77,7 @@
 // Fill copies source into the body until source ends, or until shouldPause returns true for the number of bytes received;
 // another call of Fill then continues. It reports whether the body is complete. It calls onComplete after it has read the
 // last byte and before readers see the body as complete. Both functions may be nil. The errors are ErrTooLarge,
-// ErrStorage, io.ErrUnexpectedEOF and those of source. After an error the body stays incomplete, and readers
+// ErrNoCapacity, ErrStorage, io.ErrUnexpectedEOF and those of source. After an error the body stays incomplete, and readers
 // get the error too.
 func (f *File) Fill(source io.Reader, shouldPause func(received int64) bool, onComplete func()) (complete bool, err error) {
 	buffer := f.store.AcquireBuffer()
@@ -117,6 +123,9 @@
 	if f.size+int64(len(p)) > MaxSize {
 		return ErrTooLarge
 	}
+	if !f.charge(int64(len(p))) {
+		return ErrNoCapacity
+	}
 	n, err := f.file.Write(p)
 	f.store.count.FileBytes.Add(int64(n))
 	f.grow(int64(n))
@@ -126,6 +135,17 @@
 	return nil
 }
 
+// charge charges bytes that are about to be written. It returns false if no memory becomes free in the time that is left for waiting.
+func (f *File) charge(n int64) bool {
+	began := time.Now()
+	if !f.store.memory.WaitCharge(memory.RequestFiles, n, f.mayWait) {
+		return false
+	}
+	f.mayWait -= time.Since(began)
+	f.charged += n
+	return true
+}
+
 func (f *File) grow(n int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/body/file_test.go
+++ b/internal/body/file_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"tackhub.example/tackhub/internal/counters"
 )
@@ -15,7 +16,7 @@
 // pass on a last chunk.
 func TestFillReportsFullDiskToReaders(t *testing.T) {
 	count := &counters.Bodies{}
-	f, err := New(t.TempDir(), 1, 2, count).Create(BufferSize * 2)
+	f, err := New(t.TempDir(), 1, 2, nil, count).Create(BufferSize*2, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,7 +50,7 @@
 
 // A stored body cannot be read back because its file was closed. ForEachChunk must not treat the error as the end of the body.
 func TestForEachChunkReportsReadError(t *testing.T) {
-	f, err := New(t.TempDir(), 1, 2, &counters.Bodies{}).Create(10)
+	f, err := New(t.TempDir(), 1, 2, nil, &counters.Bodies{}).Create(10, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,9 +66,9 @@
 // The directory for bodies is missing. Every Create must fail with ErrStorage and release the file slot that it took.
 func TestCreateReleasesCapacityWhenDirectoryIsMissing(t *testing.T) {
 	count := &counters.Bodies{}
-	s := New(filepath.Join(t.TempDir(), "gone"), 1, 1, count)
+	s := New(filepath.Join(t.TempDir(), "gone"), 1, 1, nil, count)
 	for range 3 { // a slot that is not released makes the next Create fail with ErrNoCapacity
-		if _, err := s.Create(100 << 10); !errors.Is(err, ErrStorage) {
+		if _, err := s.Create(100<<10, time.Second); !errors.Is(err, ErrStorage) {
 			t.Errorf("Create: error = %v, want ErrStorage", err)
 		}
 	}
--- a/internal/body/store.go
+++ b/internal/body/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tackhub.example/tackhub/internal/counters"
+	"tackhub.example/tackhub/internal/memory"
 )
 
 const (
@@ -24,17 +25,16 @@
 	// MaxTransferTime is 1.5 times as long as a body of MaxSize takes at 64 kB/s, the lowest rate at which clients send.
 	MaxTransferTime = MaxSize / 64_000 * 3 / 2 * time.Second
 
-	// maxCapacityWait is how long a body waits for a free file, while its sender is blocked. After that time it is
-	// better to retry the request at another node, and a response that is delayed by 2 s is lost.
-	maxCapacityWait = 1500 * time.Millisecond
+	// reclaimInterval is the time between two tries to reclaim a file while a body waits for one.
+	reclaimInterval = 50 * time.Millisecond
 )
 
 var (
 	// ErrTooLarge is returned for a body larger than MaxSize, and for every body if the store has no directory.
 	ErrTooLarge = errors.New("body too large")
 
-	// ErrNoCapacity is returned if no file becomes free within 1.5 s.
-	ErrNoCapacity = errors.New("no file became free for a large body")
+	// ErrNoCapacity is returned if no file or memory becomes free in time.
+	ErrNoCapacity = errors.New("no file or memory became free for a request body")
 
 	// ErrStorage is returned if the file of a body cannot be written or read, or if a reader finds the body incomplete.
 	ErrStorage = errors.New("cannot store or read back body")
@@ -46,17 +46,19 @@
 	fileSlots   chan struct{} // semaphore, one element for each file in use
 	bufferSlots chan struct{} // semaphore, one element for each buffer of BufferSize in use
 	pool        sync.Pool     // of *[BufferSize]byte
+	memory      *memory.Account
 	count       *counters.Bodies
 }
 
 // New returns a Store that uses up to maxFiles files and maxBuffers buffers of BufferSize at a time. Files are created in dir. If dir is
-// empty, large request bodies are rejected.
-func New(dir string, maxFiles, maxBuffers int, count *counters.Bodies) *Store {
+// empty, large request bodies are rejected. Files and buffers are charged to the account.
+func New(dir string, maxFiles, maxBuffers int, account *memory.Account, count *counters.Bodies) *Store {
 	return &Store{
 		dir:         dir,
 		fileSlots:   make(chan struct{}, maxFiles),
 		bufferSlots: make(chan struct{}, maxBuffers),
 		pool:        sync.Pool{New: func() any { return new([BufferSize]byte) }},
+		memory:      account,
 		count:       count,
 	}
 }
@@ -69,21 +71,24 @@
 	return MaxSize
 }
 
-// acquire takes a slot of a semaphore. It returns false if none becomes free within maxCapacityWait.
-func (s *Store) acquire(slots chan struct{}) bool {
+// acquireFile takes a slot for a file. It returns false if none becomes free within the given time.
+func (s *Store) acquireFile(wait time.Duration) bool {
 	select {
-	case slots <- struct{}{}:
+	case s.fileSlots <- struct{}{}:
 		return true
 	default:
 	}
 	s.count.Waited.Inc()
-	timeout := time.NewTimer(maxCapacityWait)
-	defer timeout.Stop()
-	select {
-	case slots <- struct{}{}:
-		return true
-	case <-timeout.C:
-		s.count.Refused.Inc()
-		return false
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline); {
+		s.memory.Reclaim()
+		timer := time.NewTimer(min(reclaimInterval, time.Until(deadline)))
+		select {
+		case s.fileSlots <- struct{}{}:
+			timer.Stop()
+			return true
+		case <-timer.C:
+		}
 	}
+	s.count.Refused.Inc()
+	return false
 }
--- a/internal/counters/counter.go
+++ b/internal/counters/counter.go
@@ -45,10 +45,23 @@
 func (b *ByCode) Inc(code string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.create()
+	b.counts[code]++
+}
+
+// Set sets the count of a code, which is then used as a gauge.
+func (b *ByCode) Set(code string, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.create()
+	b.counts[code] = n
+}
+
+// create creates the map of counts. The caller must hold b.mu.
+func (b *ByCode) create() {
 	if b.counts == nil {
 		b.counts = map[string]int64{}
 	}
-	b.counts[code]++
 }
 
 // Get returns the count of a code, which is 0 if the code has not been counted.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -64,6 +64,18 @@
 	Truncated    Count `json:"broken"`        // large responses that were cut off
 }
 
+// Memory holds the memory account of the node.
+type Memory struct {
+	Limit   Count  `json:"limit"`   // bytes that may be charged
+	Charged Count  `json:"charged"` // bytes charged now: those of all purposes, with what garbage needs beside them
+	Peak    Count  `json:"peak"`    // highest value of Charged
+	Bytes   ByCode `json:"bytes"`   // bytes in use now, by purpose
+	Waited  Count  `json:"waited"`  // times a request waited for memory
+	Short   ByCode `json:"short"`   // charges that exceeded the limit, by purpose
+	Refused ByCode `json:"refused"` // requests for which no memory came free in time, by purpose
+	Evicted Count  `json:"evicted"` // connections that were closed in favor of others, since memory was short
+}
+
 // Handover counts messages between two processes of a node. All are 0 without a handover.
 type Handover struct {
 	Dropped Count `json:"dropped"` // messages to the sibling process, and request ids received from it, that were dropped at a limit
@@ -221,6 +233,7 @@
 	Rejections    ByCode            `json:"rejections"` // responses without a decision of the balancer, by code; Requests.Taken does not count all of these
 	Endpoints     EndpointCounts    `json:"registry"`
 	Bodies        Bodies            `json:"large_bodies"`
+	Memory        Memory            `json:"memory"`
 	Handover      Handover          `json:"handover"`
 	Admin         Admin             `json:"operator_door"`
 	Attempts      Attempts          `json:"attempts"`
--- a/internal/ingress/accept.go
+++ b/internal/ingress/accept.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tackhub.example/tackhub/internal/faults"
+	"tackhub.example/tackhub/internal/memory"
 	"tackhub.example/tackhub/internal/socket"
 )
 
@@ -103,6 +104,7 @@
 		c.idleSince = c.idleSince.Add(-deferAcceptTime)
 		c.requestBegan = c.requestBegan.Add(-deferAcceptTime)
 	}
+	s.options.Memory.Charge(memory.ClientConnections, connectionBytes)
 	s.options.Counters.Clients.Opened.Inc()
 	s.options.Counters.Clients.Open.Inc()
 	s.mu.Lock()
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -54,10 +54,15 @@
 	seenOpen  time.Time // when the client's close, had there been one, was last visible
 	endUnseen bool      // the client may have closed the connection, which could not be seen
 
+	bodyBytes int64 // charged for the body of the current request
+	headBytes int64 // charged for its head
+	hasFile   bool  // largeBody is not nil
+
 	tracked        []trackedRequest // requests whose responses are not yet completely written to the kernel
 	responseBroken bool             // a response was aborted before its end
 
 	// Only the goroutine that serves the connection uses these fields.
+	framing       headFraming
 	largeBody     *body.File     // body of the current request if it is large, else nil
 	bodyRemainder *minRateReader // reads the part of largeBody that is not yet stored
 }
--- a/internal/ingress/connstate.go
+++ b/internal/ingress/connstate.go
@@ -18,6 +18,7 @@
 	closeBadRequest    = proxy.ReasonBadRequest
 	closeWriteFailed   = "write_failed"     // a response could not be written
 	closeEvicted       = "descriptor_limit" // evicted because of the limit on connections or descriptors
+	closeMemory        = "memory_limit"     // evicted because of the memory limit
 	closeDrained       = "drained"          // closed by a graceful shutdown or an administrative drain
 	closeOther         = "ended"            // any other reason
 )
@@ -53,6 +54,9 @@
 	return c.nodeCloseReason == reason
 }
 
+// isEvicted reports whether the node is closing the connection in favor of others.
+func (c *conn) isEvicted() bool { return c.isClosingFor(closeEvicted) || c.isClosingFor(closeMemory) }
+
 // closeWhenIdle starts to close the connection if it is idle, and reports whether it did. A request that arrives before the
 // close takes effect is still served.
 func (c *conn) closeWhenIdle(reason string) bool {
@@ -113,7 +117,7 @@
 func (c *conn) silentFor() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	incomplete := !c.idle && !c.inFlight && !c.handled
+	incomplete := !c.idle && (!c.inFlight || c.uploading) && !c.handled
 	return time.Since(c.lastRead), incomplete && c.nodeCloseReason == ""
 }
 
--- a/internal/ingress/evict.go
+++ b/internal/ingress/evict.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"tackhub.example/tackhub/internal/memory"
 )
 
 const (
@@ -35,6 +37,9 @@
 func (s *Server) hasCapacity() bool {
 	conns := s.connCount()
 	limit := s.connLimit()
+	if conns >= minConns && !s.options.Memory.Fits(memory.ClientConnections, connectionBytes) {
+		limit = conns
+	}
 	switch {
 	case s.evicting.Load() > 0: // wait until the evicted connections are closed
 	case conns >= limit:
@@ -42,7 +47,7 @@
 	case conns >= int(softLimitFraction*float64(limit)):
 		s.evict(minEvictIdleTime)
 	}
-	return conns < s.connLimit()
+	return conns < limit
 }
 
 // evictionCandidate is a connection that may be evicted.
@@ -61,12 +66,24 @@
 		candidates = s.silentConns()
 		closeConn = (*conn).closeIncomplete
 	}
-	slices.SortFunc(candidates, func(a, b evictionCandidate) int { return cmp.Compare(b.inactiveFor, a.inactiveFor) })
+	sortByInactivity(candidates)
+	s.evictAll(candidates, closeConn, closeEvicted)
+}
+
+// evictAll closes the first evictBatch of the candidates.
+func (s *Server) evictAll(candidates []evictionCandidate, closeConn func(c *conn, reason string) bool, reason string) (evicted int) {
 	for _, candidate := range candidates[:min(evictBatch, len(candidates))] {
-		if closeConn(candidate.conn, closeEvicted) {
+		if closeConn(candidate.conn, reason) {
 			s.evicting.Add(1)
+			evicted++
 		}
 	}
+	return evicted
+}
+
+// sortByInactivity sorts candidates, longest inactive first.
+func sortByInactivity(candidates []evictionCandidate) {
+	slices.SortFunc(candidates, func(a, b evictionCandidate) int { return cmp.Compare(b.inactiveFor, a.inactiveFor) })
 }
 
 // idleConns returns the connections that have been idle for at least minIdleTime. It leaves out new connections, whose first
--- a/internal/ingress/handle.go
+++ b/internal/ingress/handle.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"tackhub.example/tackhub/internal/memory"
 	"tackhub.example/tackhub/internal/proxy"
 )
 
@@ -18,8 +19,9 @@
 	// header itself is rejected in the same way.
 	headerTooLarge = "Tackhub-Too-Large"
 
-	codeBodyTooLarge = "body_too_large"
-	codeNoCapacity   = "no_room" // no file, buffer or disk space for a large body
+	codeBodyTooLarge  = "body_too_large"
+	codeTooManyFields = "too_many_fields"
+	codeNoCapacity    = "no_room" // no file, memory or disk space for a request
 )
 
 // serve serves a connection until it ends, then stops tracking its requests and logs its end.
@@ -30,7 +32,8 @@
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
-	if c.isClosingFor(closeEvicted) {
+	s.options.Memory.Release(memory.ClientConnections, connectionBytes)
+	if c.isEvicted() {
 		s.evicting.Add(-1)
 	}
 	s.options.Counters.Clients.Open.Add(-1)
@@ -54,7 +57,7 @@
 			err = c.Close()
 		}
 	}()
-	return s.http.ServeConn(c)
+	return s.http.ServeConn(httpConn{c})
 }
 
 // headReceived checks a request's head before its body is read. If the announced body is too large, it marks the request so
@@ -70,18 +73,21 @@
 
 // handle handles a request whose head was read, and decides whether the connection stays open.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	c, ok := ctx.Conn().(*conn)
+	served, ok := ctx.Conn().(httpConn)
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
+	c := served.conn
 	c.countRequest()
 	defer c.releaseBody()
+	defer c.releaseMemory()
 	s.dispatch(ctx, c)
 	// fasthttp flushes each response if a write deadline is set. Otherwise it would delay a response until it has the body of
 	// the next pipelined request.
 	_ = ctx.SetWriteDeadline(time.Now().Add(writeTimeout)) // conn.SetWriteDeadline never fails
 	c.markHandled()
+	c.framing.endRequest(bodySizeOf(&ctx.Request.Header))
 	if ctx.Request.Header.ConnectionClose() {
 		c.SetCloseReason(proxy.ReasonCloseRequested)
 	} else if reason := c.closeReasonAfterResponse(); reason != "" {
@@ -90,9 +96,22 @@
 	}
 }
 
+// bodySizeOf returns the size of a request's body in bytes, or -1 if it was not announced.
+func bodySizeOf(header *fasthttp.RequestHeader) int {
+	if header.IsGet() && header.ContentLength() < 0 && len(header.Peek(fasthttp.HeaderTransferEncoding)) == 0 {
+		return 0
+	}
+	return header.ContentLength()
+}
+
 // dispatch rejects a malformed request, or passes the request on by its path.
 func (s *Server) dispatch(ctx *fasthttp.RequestCtx, c *conn) {
 	header := &ctx.Request.Header
+	if countFields(header.RawHeaders()) > maxHeadFields { // only if readHead could not count them
+		*header = fasthttp.RequestHeader{} // frees the memory of the fields
+		s.reject(ctx, c, proxy.Rejection{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Code: codeTooManyFields})
+		return
+	}
 	if code := framingErrorCode(header); code != "" {
 		s.reject(ctx, c, proxy.Rejection{Status: fasthttp.StatusBadRequest, Code: code})
 		return
@@ -114,11 +133,16 @@
 
 // serveRequest reads a request's body and passes the request to the handler.
 func (s *Server) serveRequest(ctx *fasthttp.RequestCtx, c *conn) {
-	rejection := s.readBody(ctx, c)
+	rejection := s.chargeHead(ctx, c)
+	if rejection == nil {
+		rejection = s.readBody(ctx, c)
+	}
 	id := string(ctx.Request.Header.Peek(proxy.HeaderID))
 	class := string(ctx.Request.Header.Peek(proxy.HeaderClass))
 	if rejection != nil {
 		if rejection.Status == fasthttp.StatusServiceUnavailable { // counted here because the handler does not get the request
+			// No server got the complete request, so a retry is safe, and another node may have capacity.
+			ctx.Response.Header.Set("Retry-After", "1")
 			s.options.Counters.Operations.For(class).Throttled.Inc()
 		}
 		s.reject(ctx, c, *rejection)
@@ -141,10 +165,15 @@
 
 // handleMalformed rejects input that cannot be read as a request, and ends the connection.
 func (s *Server) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
-	c, _ := ctx.Conn().(*conn)
+	var c *conn
+	if served, ok := ctx.Conn().(httpConn); ok {
+		c = served.conn
+	}
 	rejection := proxy.Rejection{Status: fasthttp.StatusBadRequest, Code: codeUnreadable}
 	var bufferTooSmall *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, errTooManyFields):
+		rejection = proxy.Rejection{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Code: codeTooManyFields}
 	case errors.As(err, &bufferTooSmall):
 		rejection = proxy.Rejection{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Code: "head_too_large"}
 	case isTimeout(err):
--- a/internal/ingress/requestbody.go
+++ b/internal/ingress/requestbody.go
@@ -92,18 +92,19 @@
 	}
 	size := int64(ctx.Request.Header.ContentLength())
 	reader := &minRateReader{conn: c, source: stream, startedAt: time.Now()}
+	maxWait := maxCapacityWait(ctx)
 	var prefix []byte
 	var err error
 	if size <= body.MaxInMemory {
-		prefix, err = io.ReadAll(io.LimitReader(reader, body.MaxInMemory+1))
+		prefix, err = s.readSmallBody(c, reader, maxWait)
 	}
 	large := size > body.MaxInMemory || len(prefix) > body.MaxInMemory
 	if err == nil && large {
-		err = s.readLargeBody(c, reader, prefix, size)
+		err = s.readLargeBody(c, reader, prefix, size, maxWait)
 		prefix = nil
 	}
 	if err != nil {
-		rejection := s.bodyRejection(ctx, c, err)
+		rejection := s.bodyRejection(c, err)
 		return &rejection
 	}
 	ctx.Request.SetBodyRaw(prefix)
@@ -111,12 +112,13 @@
 }
 
 // readLargeBody reads a large body into a file. Prefix is the part of the body that was already read.
-func (s *Server) readLargeBody(c *conn, reader *minRateReader, prefix []byte, size int64) error {
-	file, err := s.options.Bodies.Create(max(unknownSize, size))
+func (s *Server) readLargeBody(c *conn, reader *minRateReader, prefix []byte, size int64, maxWait time.Duration) error {
+	file, err := s.options.Bodies.Create(max(unknownSize, size), maxWait)
 	if err != nil {
 		return err
 	}
 	c.largeBody = file // released by releaseBody
+	c.setHasFile(true)
 	c.bodyRemainder = reader
 	var shouldPause func(int64) bool
 	if size >= 0 {
@@ -128,14 +130,12 @@
 }
 
 // bodyRejection returns the rejection of a request whose body could not be read because of err.
-func (s *Server) bodyRejection(ctx *fasthttp.RequestCtx, c *conn, err error) proxy.Rejection {
+func (s *Server) bodyRejection(c *conn, err error) proxy.Rejection {
 	switch {
 	case errors.Is(err, body.ErrTooLarge):
 		return proxy.Rejection{Status: fasthttp.StatusRequestEntityTooLarge, Code: codeBodyTooLarge}
 	case errors.Is(err, body.ErrNoCapacity), errors.Is(err, body.ErrStorage):
-		// No server got the complete request, so a retry is safe, and another node may have capacity.
 		s.logNoCapacity(err)
-		ctx.Response.Header.Set("Retry-After", "1")
 		return proxy.Rejection{Status: fasthttp.StatusServiceUnavailable, Code: codeNoCapacity}
 	case isTimeout(err):
 		return timeoutRejection(c)
@@ -143,11 +143,15 @@
 	return proxy.Rejection{Status: fasthttp.StatusBadRequest, Code: codeUnreadable}
 }
 
-// timeoutRejection returns the rejection of a request that was not complete before its deadline, because the client was slow or
-// the node is shutting down. In the latter case no part of the request has run, and another node may still serve it.
+// timeoutRejection returns the rejection of a request that was not complete before its deadline, because the client was slow, the
+// node is shutting down, or the memory is needed for other requests. In the latter cases no part of the request has run, and another node
+// may still serve it.
 func timeoutRejection(c *conn) proxy.Rejection {
-	if c != nil && c.isClosingFor(closeDrained) {
+	switch {
+	case c != nil && c.isClosingFor(closeDrained):
 		return proxy.Rejection{Status: fasthttp.StatusServiceUnavailable, Code: proxy.CodeDraining}
+	case c != nil && c.isClosingFor(closeMemory):
+		return proxy.Rejection{Status: fasthttp.StatusServiceUnavailable, Code: codeNoCapacity}
 	}
 	return proxy.Rejection{Status: fasthttp.StatusRequestTimeout, Code: "slow"}
 }
@@ -171,7 +175,7 @@
 	_, err := c.largeBody.Fill(c.bodyRemainder, nil, onComplete)
 	c.setUploading(false)
 	if err != nil {
-		rejection := c.server.bodyRejection(ctx, c, err)
+		rejection := c.server.bodyRejection(c, err)
 		return &rejection
 	}
 	return nil
@@ -185,5 +189,12 @@
 	c.largeBody.Abort()
 	c.largeBody.Release()
 	c.largeBody = nil
+	c.setHasFile(false)
 	c.bodyRemainder = nil
 }
+
+func (c *conn) setHasFile(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasFile = on
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -17,6 +17,7 @@
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/drain"
 	"tackhub.example/tackhub/internal/inflight"
+	"tackhub.example/tackhub/internal/memory"
 	"tackhub.example/tackhub/internal/proxy"
 )
 
@@ -28,6 +29,12 @@
 	// maxHeadBytes limits the size of a request's request line and header fields. It is also the size of each connection's read
 	// buffer.
 	maxHeadBytes = 8 << 10
+
+	// connectionBytes is the memory that a client's connection uses: its buffers, stacks and the request in progress.
+	connectionBytes = 20 << 10
+
+	// prefetchedBodyBytes is how much of a body fasthttp reads before the handler is called, which charges the rest before it is read.
+	prefetchedBodyBytes = 1
 )
 
 // Listener accepts the clients' connections. It is a *net.TCPListener, except in tests that inject accept errors.
@@ -45,9 +52,11 @@
 
 // Options configure a Server.
 type Options struct {
-	Handler  Handler
-	Bodies   *body.Store // nil if large request bodies are not supported
-	MaxConns int         // maximum number of connections; SetMaxConns changes it
+	Handler Handler
+	Bodies  *body.Store // nil if large request bodies are not supported
+	// Memory is charged for connections and for request bodies in memory; nil: no limit.
+	Memory   *memory.Account
+	MaxConns int // maximum number of connections; SetMaxConns changes it
 	// ReservedDescriptors is the number of the process's descriptors that connections must leave free. At most half of the
 	// descriptors are reserved.
 	ReservedDescriptors int
@@ -82,6 +91,7 @@
 		descriptors atomic.Int64 // few descriptors are left
 		unanswered  atomic.Int64 // a request ended without a complete response
 	}
+	lastReclaim atomic.Int64 // time of the last call of reclaim that looked at the connections, in nanoseconds since created
 }
 
 // New returns a Server that accepts connections once Serve is called.
@@ -91,6 +101,9 @@
 	}
 	server := &Server{options: options, conns: map[*conn]struct{}{}, created: time.Now()}
 	server.SetMaxConns(options.MaxConns)
+	if options.Memory != nil {
+		options.Memory.SetReclaim(server.reclaim)
+	}
 	server.maxConnsByDescriptors.Store(math.MaxInt64)
 	server.http = fasthttp.Server{
 		Handler:                      server.handle,
@@ -100,7 +113,7 @@
 		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  idleTimeout,
 		StreamRequestBody:            true,
-		MaxRequestBodySize:           body.MaxInMemory,
+		MaxRequestBodySize:           prefetchedBodyBytes,
 		ReadBufferSize:               maxHeadBytes,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -19,6 +19,7 @@
 	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/internal/gossip"
 	"tackhub.example/tackhub/internal/ingress"
+	"tackhub.example/tackhub/internal/memory"
 	"tackhub.example/tackhub/internal/proxy"
 	"tackhub.example/tackhub/internal/shadow"
 	"tackhub.example/tackhub/internal/upstream"
@@ -113,6 +114,13 @@
 		maxConnsPerSide: budget.perSide,
 		drainPlan:       drain.NewPlan(longestTimeout(settings)),
 	}
+	n.memoryBudget = newMemoryBudget(c.Limits)
+	n.memory = memory.New(memory.Options{
+		Limit:       n.memoryBudget.accountLimit(),
+		Log:         log,
+		Counters:    &count.Memory,
+		OnFileBytes: n.memoryBudget.setFileBytes,
+	})
 	n.buildEndpoints(c, log)
 	n.buildTransports(c, budget, log)
 	n.shadow = shadow.New(activeBalancer, c.Shadow, log, &count.Shadow)
@@ -161,6 +169,7 @@
 			n.engine.Post(balancer.ConnectionClosed{Server: id})
 		},
 		ListRevision: n.discovery.Revision,
+		Memory:       n.memory,
 		LoadReports:  settings.LoadReports,
 		QueueReports: c.Settings.QueuedIndex >= 0,
 		Log:          log,
@@ -193,7 +202,7 @@
 
 func (n *node) buildClientSide(c config.Config, budget descriptorBudget, log *slog.Logger) {
 	buffers := int(c.Limits.MemoryMB*bodyMemoryFraction*bytesPerMB) / body.BufferSize
-	bodies := body.New(os.Getenv("TMPDIR"), budget.bodyFiles, max(minBodyFiles, buffers), &n.counters.Bodies)
+	bodies := body.New(os.Getenv("TMPDIR"), budget.bodyFiles, max(minBodyFiles, buffers), n.memory, &n.counters.Bodies)
 	n.handler = proxy.NewHandler(proxy.Options{
 		Router:        n.engine,
 		Send:          n.sendAttempt,
@@ -207,6 +216,7 @@
 	n.ingress = ingress.New(ingress.Options{
 		Handler:             n.handler,
 		Bodies:              bodies,
+		Memory:              n.memory,
 		MaxConns:            budget.perSide,
 		ReservedDescriptors: budget.reserved / 2,
 		InFlight:            &n.inFlight,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"tackhub.example/tackhub/internal/gossip"
 	"tackhub.example/tackhub/internal/inflight"
 	"tackhub.example/tackhub/internal/ingress"
+	"tackhub.example/tackhub/internal/memory"
 	"tackhub.example/tackhub/internal/proxy"
 	"tackhub.example/tackhub/internal/shadow"
 	"tackhub.example/tackhub/internal/subsystem"
@@ -48,6 +49,9 @@
 	discovery     *discovery.Client
 	endpoints     *endpoints.Directory
 
+	memory       *memory.Account
+	memoryBudget *memoryBudget
+
 	gossip      *gossip.Transport                   // nil if gossip between nodes is off
 	broadcaster atomic.Pointer[cluster.Broadcaster] // sends the balancer's messages; nil: gossip is used if it is on
 	admin       *admin.Server                       // nil without an administrators' listener
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"os"
-	"runtime/debug"
 	"sync/atomic"
 
 	"tackhub.example/tackhub/balancer"
@@ -165,7 +164,8 @@
 	if present {
 		processes = 2
 	}
-	debug.SetMemoryLimit(memoryLimit(u.limits) / int64(processes))
+	u.node.memoryBudget.setProcesses(processes)
+	u.node.memory.SetLimit(u.node.memoryBudget.accountLimit())
 	u.node.ingress.SetMaxConns(u.node.maxConnsPerSide / processes)
 	u.node.pool.SetProcessCount(processes)
 	u.node.engine.Post(balancer.SiblingProcesses{Count: processes})
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -104,6 +104,8 @@
 		r.reject(ctx, rejected)
 		return
 	}
+	r.received.body = nil // copied to outgoing
+	ctx.Request.ResetBody()
 	r.ran = true // if processing panics
 	o := r.process(ctx)
 	r.ran = r.mustNotRunAgain(o)
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -116,6 +117,12 @@
 	return balancer.Millis(min(n, maxTimeout)), err == nil
 }
 
+// ClientTimeout returns how long the client of a request waits for the response. It reports whether the request has a valid deadline field.
+func ClientTimeout(header *fasthttp.RequestHeader) (time.Duration, bool) {
+	timeout, ok := parseTimeout(string(header.Peek(HeaderDeadline)))
+	return clock.Duration(timeout), ok
+}
+
 // maxCostHint is the largest cost hint that is accepted, in microseconds.
 const maxCostHint = 1e12
 
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -60,7 +60,7 @@
 			r := &countingRouter{next: silentEngine(t, count)}
 			h := testHandler(r, count)
 			h.classes["look"] = balancer.Class{Name: "look", Idempotency: balancer.NonIdempotent}
-			f, err := body.New(t.TempDir(), 1, 4, &count.Bodies).Create(1)
+			f, err := body.New(t.TempDir(), 1, 4, nil, &count.Bodies).Create(1, time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/upstream/close.go
+++ b/internal/upstream/close.go
@@ -3,6 +3,8 @@
 import (
 	"runtime/debug"
 	"time"
+
+	"tackhub.example/tackhub/internal/memory"
 )
 
 // closeReason is the reason why a connection to a server was closed or could not be established. It is the code in the log
@@ -37,6 +39,7 @@
 		p.recordUnsolicited(c.server)
 	}
 	p.options.Counters.Servers.Open.Add(-1)
+	p.options.Memory.Release(memory.ServerConnections, connectionBytes)
 	p.unreserve(c.server)
 	p.recordClose(c, reason, err)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,6 +16,9 @@
 	// readBufferSize is the size in bytes of a connection's read buffer. A response head must fit into it, and most bodies do.
 	readBufferSize = 4096
 
+	// connectionBytes is the memory that a connection uses: its buffer, the stack of its attempt, and the head of a response.
+	connectionBytes = 10 << 10
+
 	// reuseDelay is the minimum time between a response and the next request on the same connection. A server that closes
 	// the connection, or sends a second response or other unsolicited bytes, does so within a few milliseconds. Without the
 	// delay the next request would read those bytes as its own response. If no other connection is idle, a request waits
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -9,6 +9,7 @@
 
 	"tackhub.example/tackhub/balancer"
 	"tackhub.example/tackhub/internal/engine"
+	"tackhub.example/tackhub/internal/memory"
 	"tackhub.example/tackhub/internal/socket"
 )
 
@@ -25,6 +26,7 @@
 		p.recordClose(&conn{server: id, addr: addr, opened: time.Now()}, dialReason(ctx, err), err)
 		return nil, err
 	}
+	p.options.Memory.Charge(memory.ServerConnections, connectionBytes)
 	p.options.Counters.Servers.Open.Inc()
 	opened := time.Now()
 	return &conn{
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,6 +15,7 @@
 	"tackhub.example/tackhub/internal/counters"
 	"tackhub.example/tackhub/internal/engine"
 	"tackhub.example/tackhub/internal/faults"
+	"tackhub.example/tackhub/internal/memory"
 )
 
 // Options configure a Pool.
@@ -31,6 +32,7 @@
 	// OnIdleClosed is called after an idle connection to a server was closed. It may be called from any goroutine and may
 	// block. It may be nil.
 	OnIdleClosed func(balancer.ServerID)
+	Memory       *memory.Account // charged for connections and responses; nil: no limit
 	// ListRevision returns the revision of the endpoint list by which servers are chosen now; nil: not logged.
 	ListRevision func() int64
 	Log          *slog.Logger
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tackhub.example/tackhub/internal/body"
+	"tackhub.example/tackhub/internal/memory"
 )
 
 const (
@@ -56,6 +57,20 @@
 	if s.size > body.MaxInMemory {
 		return s.readFirst()
 	}
+	if s.size > initialBufferBytes {
+		return s.readMedium()
+	}
+	return s.readSmall()
+}
+
+// readMedium reads a response of up to 64 KiB completely if there is memory for it, so that its request can be retried if the connection
+// breaks. Otherwise the response is streamed like a large one.
+func (s *Stream) readMedium() (response, closeReason, error) {
+	account := s.pool.options.Memory
+	if !account.TryCharge(memory.ResponseBodies, s.size) {
+		return s.readFirst()
+	}
+	defer account.Release(memory.ResponseBodies, s.size) // a complete response is written to the client at once
 	return s.readSmall()
 }
 
