Failing test: a body that was released is released again by a late attempt

Seen as files of 28 MB where the account allowed 13: an attempt that the engine starts just after its request has ended retains a body whose last reference is gone, and releases it a second time (stack: Attempt.run, 'file already closed').

--- a/internal/body/file_test.go
+++ b/internal/body/file_test.go
@@ -76,3 +76,25 @@
 		t.Errorf("files in use = %d, want 0", count.Files.Get())
 	}
 }
+
+// An attempt is started just after the request has ended and its body was released. The body was once released a second time when the
+// attempt ended: its slot was given back twice, and memory that others used counted as free.
+func TestReleasedBodyIsNotReleasedAgain(t *testing.T) {
+	count := &counters.Bodies{}
+	s := New(t.TempDir(), 2, 2, nil, count)
+	other, err := s.Create(10, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Release()
+	f, err := s.Create(10, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Release()
+	f.Retain()
+	f.Release()
+	if files := count.Files.Get(); files != 1 {
+		t.Errorf("files in use = %d, want 1", files)
+	}
+}
