A body whose request has ended is not released a second time by a late attempt

What callers saw: files under TMPDIR took 28 MB where the account allowed 13, in one of some six runs of everything at a quarter of a core. Before the account the same fault gave the slot of a file back twice, after which another release blocked for good.

Cause: the engine may start an attempt between the end of a request and the handling of its cancellation. The request's body had been released by then; the attempt raised its count from 0 to 1 and released it again, so that its charge and slot were given back twice.

Why it works: a body without references cannot be retained any more. The attempt is not sent, as that of a client that has left, and a body is deleted by the release that reaches 0, once.

--- a/cmd/tackhub/memorylimit_test.go
+++ b/cmd/tackhub/memorylimit_test.go
@@ -46,16 +46,16 @@
 		request           func(i int) string
 		quarterCore       bool
 	}{
-		"unfinished heads of short fields": {450, 1024, leastMemoryMB, unfinishedHead, false},
-		"complete heads of short fields":   {450, 1024, leastMemoryMB, completeHead, false},
-		"half of small bodies":             {450, 1024, leastMemoryMB, halfSmallBody, false},
-		"half of 40 large bodies":          {40, 1024, leastMemoryMB, halfLargeBody, false},
-		"half of 200 large bodies":         {200, 1024, leastMemoryMB, halfLargeBody, false},
-		"everything, 256 descriptors":      {220, 256, leastMemoryMB, everyKind, false},
-		"unfinished heads, 192 MB":         {900, 2048, 192, unfinishedHead, false},
-		"quarter core, unfinished heads":   {450, 1024, leastMemoryMB, unfinishedHead, true},
-		"quarter core, half large bodies":  {200, 1024, leastMemoryMB, halfLargeBody, true},
-		"quarter core, everything":         {450, 1024, leastMemoryMB, everyKind, true},
+		"unfinished heads of short fields":       {450, 1024, leastMemoryMB, unfinishedHead, false},
+		"complete heads of short fields":         {450, 1024, leastMemoryMB, completeHead, false},
+		"half of small bodies":                   {450, 1024, leastMemoryMB, halfSmallBody, false},
+		"half of 40 large bodies":                {40, 1024, leastMemoryMB, halfLargeBody, false},
+		"half of 200 large bodies":               {200, 1024, leastMemoryMB, halfLargeBody, false},
+		"everything with 256 descriptors":        {220, 256, leastMemoryMB, everyKind, false},
+		"unfinished heads with 192 MB":           {900, 2048, 192, unfinishedHead, false},
+		"unfinished heads at a quarter core":     {450, 1024, leastMemoryMB, unfinishedHead, true},
+		"half of large bodies at a quarter core": {200, 1024, leastMemoryMB, halfLargeBody, true},
+		"everything at a quarter core":           {450, 1024, leastMemoryMB, everyKind, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := startBackend(t, "s1", respond(200, "done"))
--- a/internal/body/file.go
+++ b/internal/body/file.go
@@ -57,12 +57,23 @@
 	return os.Remove(f.file.Name())
 }
 
-// Retain adds a reference to the body, which needs one more call of Release.
-func (f *File) Retain() { f.refCount.Add(1) }
+// Retain adds a reference to the body, which needs one more call of Release. It returns false if the body was deleted, because its last
+// reference was dropped.
+func (f *File) Retain() bool {
+	for {
+		count := f.refCount.Load()
+		if count <= 0 {
+			return false
+		}
+		if f.refCount.CompareAndSwap(count, count+1) {
+			return true
+		}
+	}
+}
 
 // Release drops a reference to the body. Dropping the last one deletes the body.
 func (f *File) Release() {
-	if f.refCount.Add(-1) > 0 {
+	if f.refCount.Add(-1) != 0 {
 		return
 	}
 	if f.file != nil {
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -86,8 +86,8 @@
 
 // RequestBody is a large request body that is stored outside memory.
 type RequestBody interface {
-	Size() int64 // in bytes
-	Retain()     // adds a reference, which needs one more call of Release
+	Size() int64  // in bytes
+	Retain() bool // adds a reference, which needs one more call of Release; false: the request has ended and the body is gone
 	Release()
 	// ForEachChunk calls each with every chunk in order. A chunk is valid during the call only; last
 	// marks the last one.
--- a/internal/upstream/abort_test.go
+++ b/internal/upstream/abort_test.go
@@ -19,9 +19,9 @@
 // twoChunks is a large request body of two chunks.
 type twoChunks struct{}
 
-func (twoChunks) Size() int64 { return 4 }
-func (twoChunks) Retain()     {}
-func (twoChunks) Release()    {}
+func (twoChunks) Size() int64  { return 4 }
+func (twoChunks) Retain() bool { return true }
+func (twoChunks) Release()     {}
 func (twoChunks) ForEachChunk(each func(chunk []byte, last bool) error) error {
 	if err := each([]byte("ab"), false); err != nil {
 		return err
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -23,6 +23,7 @@
 	done         func(engine.Completion)
 
 	listRevision int64 // of the endpoint list by which the server was chosen
+	bodyGone     bool  // the request has ended, and its large body was released
 
 	mu        sync.Mutex
 	startTime time.Time // Completion.Elapsed is measured from here
@@ -32,11 +33,9 @@
 // Send starts an attempt to send a request to a server and returns without waiting. It calls done once with the completion,
 // unless Abort is called first.
 func (p *Pool) Send(server balancer.ServerID, request engine.OutgoingRequest, done func(engine.Completion)) *Attempt {
-	if request.Body != nil {
-		request.Body.Retain()
-	}
 	a := &Attempt{
 		pool:         p,
+		bodyGone:     request.Body != nil && !request.Body.Retain(),
 		transmission: engine.Transmission{Request: request, Resolver: p.options.Resolver, Server: server},
 		startTime:    time.Now(),
 		done:         done,
@@ -67,6 +66,10 @@
 // written.
 func (a *Attempt) run() {
 	defer a.cancel()
+	if a.bodyGone { // the request's cancellation is still queued in the engine's mailbox
+		a.reportCompletion(notSent(engine.ErrClientDisconnected))
+		return
+	}
 	largeBody := a.transmission.Request.Body
 	if largeBody != nil {
 		defer largeBody.Release()
