Soak under pressure: little memory, slow and flooding clients, lumps, ids that come again

Nodes with 48 MB and 256 or 1,024 descriptors; waves of clients with unfinished and complete heads of short fields, half bodies, floods; responses of unknown size in lumps; unsafe requests whose client leaves and comes again; beside the planned stops and faults of the other soaks. New rules: memory, and cut (excused beside a fault of a server or a stop of the node).

Not in it: the quarter of a core is configured and not enforced; no upgrades; no servers replaced at their address beyond the cold returns of the other soaks.

--- a/cmd/tacklab/soak.go
+++ b/cmd/tacklab/soak.go
@@ -25,6 +25,7 @@
 	Withdrawals bool          `help:"Let the list withdraw all servers, or those of a zone, several times in a run, and have them back."`
 	Uploads     bool          `help:"Let requests with an effect have long bodies, and half of the servers speak CoAP."`
 	Devices     bool          `help:"Let CoAP devices send a part of the operations; they repeat messages and move to the next node after a rejection."`
+	Pressure    bool          `help:"Nodes with 48 MB and few descriptors; slow, stopping and flooding clients, long heads, responses in lumps, repeated ids."`
 	Plan        string        `help:"Replay the plan in this file instead." type:"existingfile"`
 	Print       bool          `help:"Print the plans and play nothing."`
 	Shrink      bool          `help:"Make the first plan that breaks smaller, and print what is left."`
@@ -103,6 +104,7 @@
 			Withdrawals: c.Withdrawals,
 			Devices:     c.Devices,
 			Uploads:     c.Uploads,
+			Pressure:    c.Pressure,
 		}))
 		if err != nil {
 			return nil, err
--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -188,6 +188,8 @@
 	RuleSlowStartCollapse      = "cold"               // a server in slow start was overloaded until it crashed
 	RuleSentAfterCancel        = "sent-for-one-gone"  // sent to a server after the client had cancelled
 	RuleDeadline               = "deadline"           // a server was given more time than the client had left
+	RuleMemory                 = "memory"             // a node used more memory than its limit, files included
+	RuleCutOff                 = "cut"                // a response that its server was still writing was cut off
 )
 
 const (
--- a/lab/backend/http.go
+++ b/lab/backend/http.go
@@ -45,6 +45,12 @@
 			return
 		}
 		firstOnConn = false
+		if lumps, size, pause := lumpsOf(req); lumps > 0 && resp.StatusCode() == fasthttp.StatusOK {
+			if s.writeInLumps(c, lumps, size, pause) != nil {
+				return
+			}
+			continue
+		}
 		if resp.Write(w) != nil || w.Flush() != nil {
 			return
 		}
--- a/lab/experiment/progress.go
+++ b/lab/experiment/progress.go
@@ -10,6 +10,9 @@
 // measure samples the nodes at each sampleInterval and the servers at every second one, and reports the progress at every
 // fourth, which is once per second. It returns when done is closed.
 func (r *run) measure(done <-chan struct{}) {
+	if r.options.Scenario.Clients.Pressure {
+		go r.nodes.WatchMemory(done)
+	}
 	tick := time.NewTicker(sampleInterval)
 	defer tick.Stop()
 	reported, ticks := 0, 0
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -83,6 +83,11 @@
 	out.Record = record
 	out.KilledStops = r.nodes.KilledStops()
 	out.Breaches = record.Judge(audit.Limits{DrainGrace: s.Nodes.DrainGrace, ResponseSlack: responseSlack, LinkDelay: maxLinkDelay(s)})
+	out.Nodes = r.nodes.Reports()
+	if r.options.Companion != nil {
+		out.Breaches = append(out.Breaches, r.options.Companion.Breaches()...)
+	}
+	out.Breaches = append(out.Breaches, memoryBreaches(s, out.Nodes)...)
 	out.BreachesByRule = map[string]int{}
 	for _, b := range out.Breaches {
 		out.BreachesByRule[b.Rule]++
@@ -91,7 +96,6 @@
 	out.Seconds = computeSeconds(s, ops)
 	out.Marks = r.marks
 	out.Servers = r.serverLoads
-	out.Nodes = r.nodes.Reports()
 	r.addNodeUsage(&out.Figures, out.Nodes)
 	if r.mesh != nil {
 		r.judgeMembers(out)
@@ -204,6 +208,18 @@
 	f.ClockSkew = r.nodes.ClockSkew()
 }
 
+// memoryBreaches returns a breach for each node that has exceeded its memory limit.
+func memoryBreaches(s *scenario.Scenario, nodes []nodeproc.Report) []audit.Breach {
+	var breaches []audit.Breach
+	for i, node := range nodes {
+		if total := float64(node.Peak.Total()) / (1 << 20); total > s.Nodes.MemoryMB {
+			breaches = append(breaches, audit.Breach{Rule: audit.RuleMemory, At: node.Peak.At, Text: fmt.Sprintf(
+				"node %d used %.0f MB, %.0f MB of them in files, with a limit of %.0f MB", i, total, float64(node.Peak.Files)/(1<<20), s.Nodes.MemoryMB)})
+		}
+	}
+	return breaches
+}
+
 // describeMachine returns the cores, platform, kernel and Go version of the machine.
 func describeMachine() string {
 	var names syscall.Utsname
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -47,6 +47,8 @@
 	StopBegan(node int, address string, at time.Time)
 	// Attempts ends the requests in flight and returns the attempts of the run.
 	Attempts() []audit.Attempt
+	// Breaches returns the breaches that the companion has found itself. It is called after Attempts.
+	Breaches() []audit.Breach
 }
 
 // Run runs a scenario and returns its result and verdict. It returns an error if the run could not start. If a run started
--- a/lab/nodeproc/group.go
+++ b/lab/nodeproc/group.go
@@ -96,7 +96,7 @@
 	if g.options.OperatorFile != nil {
 		n.env = append(n.env, "TACKHUB_EDGE="+g.options.OperatorFile(i))
 	}
-	if g.options.Scenario.Mesh != nil { // a separate directory, as if each node ran on its own machine
+	if g.options.Scenario.Mesh != nil || g.options.Scenario.Clients.Pressure { // a separate directory, as if each node ran on its own machine
 		n.dataDir = g.DataDir(i)
 		if err := os.MkdirAll(n.dataDir, 0o700); err != nil {
 			return nil, err
--- a/lab/nodeproc/process.go
+++ b/lab/nodeproc/process.go
@@ -24,7 +24,7 @@
 	index   int
 	addr    string
 	env     []string
-	dataDir string // directory for temporary files; empty without a mesh
+	dataDir string // directory for temporary files; empty without a mesh or pressure
 
 	healthy       atomic.Bool
 	stoppingSince atomic.Int64 // start of the planned stop in ns since the start of the run; 0: none in progress
@@ -40,6 +40,7 @@
 	starts       []audit.ProcessStart
 	pauses       []audit.Pause
 	samples      []Sample
+	peak         MemoryPeak
 	earlierCPU   float64         // CPU seconds used by earlier processes
 	ejected      map[string]bool // servers that the node has ejected, from its log
 	log          bytes.Buffer
--- a/lab/nodeproc/sample.go
+++ b/lab/nodeproc/sample.go
@@ -64,6 +64,8 @@
 type Report struct {
 	Samples []Sample `json:"samples"`
 	Crashes int      `json:"crashes"`
+
+	Peak MemoryPeak `json:"peak,omitzero"` // measured only while WatchMemory runs
 }
 
 // Reports returns the measurements of all nodes.
@@ -71,7 +73,7 @@
 	out := make([]Report, len(g.nodes))
 	for i, n := range g.nodes {
 		n.mu.Lock()
-		out[i] = Report{Samples: append([]Sample(nil), n.samples...), Crashes: n.crashes}
+		out[i] = Report{Samples: append([]Sample(nil), n.samples...), Crashes: n.crashes, Peak: n.peak}
 		n.mu.Unlock()
 	}
 	return out
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -110,11 +110,12 @@
 	Retries        int           `toml:"retries"`
 	Backoff        time.Duration `toml:"backoff"`
 	MarksRetry     bool          `toml:"marks_retry"`
-	CancelFraction float64       `toml:"leave"`   // fraction of the requests that the client cancels before the deadline
-	Coap           float64       `toml:"coap"`    // fraction of the operations sent over CoAP instead of HTTP
-	Devices        int           `toml:"devices"` // CoAP sockets to each node; each has one request in flight at a time
-	Duplicates     int           `toml:"dup"`     // additional copies of every CoAP message
-	Quota          float64       `toml:"quota"`   // requests per second of all tenants together; 0: none
+	CancelFraction float64       `toml:"leave"`    // fraction of the requests that the client cancels before the deadline
+	Coap           float64       `toml:"coap"`     // fraction of the operations sent over CoAP instead of HTTP
+	Devices        int           `toml:"devices"`  // CoAP sockets to each node; each has one request in flight at a time
+	Duplicates     int           `toml:"dup"`      // additional copies of every CoAP message
+	Quota          float64       `toml:"quota"`    // requests per second of all tenants together; 0: none
+	Pressure       bool          `toml:"pressure"` // further clients press for the nodes' memory and CPU time; the nodes' memory is audited
 }
 
 // Step sets the request rate from At on. With a ramp the rate changes linearly over that duration. A burst adds that many
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -60,6 +60,7 @@
 	lastOperation atomic.Int64
 
 	mu          sync.Mutex
+	breaches    []audit.Breach
 	attempts    []audit.Attempt
 	stops       []ObservedStop
 	racedCloses int
@@ -79,6 +80,9 @@
 // Begin starts the clients that reuse connections to each node.
 func (c *Clients) Begin(start time.Time, nodes []string) {
 	c.start = start
+	if c.scenario.Clients.Pressure {
+		c.beginPressure(nodes)
+	}
 	for node, address := range nodes {
 		for i := range reusedConnsPerNode {
 			rng := rand.New(rand.NewPCG(c.scenario.Seed, uint64(node)<<16+uint64(i)))
@@ -140,6 +144,9 @@
 	return c.attempts
 }
 
+// Breaches returns the responses that were cut off.
+func (c *Clients) Breaches() []audit.Breach { return c.breaches }
+
 // ObservedStops returns the observed planned stops. Call it after Attempts.
 func (c *Clients) ObservedStops() []ObservedStop { return c.stops }
 
@@ -278,8 +285,12 @@
 
 // newRequest returns a request of a random class.
 func (c *Clients) newRequest(rng *rand.Rand) request {
+	return c.newRequestOf(c.scenario.Classes[rng.IntN(len(c.scenario.Classes))])
+}
+
+// newRequestOf returns a request of a class.
+func (c *Clients) newRequestOf(class scenario.Class) request {
 	operation := firstOperation + int(c.lastOperation.Add(1))
-	class := c.scenario.Classes[rng.IntN(len(c.scenario.Classes))]
 	method, headers, body := "GET", "", ""
 	if class.Effect != scenario.EffectSafe {
 		method, body = "POST", strings.Repeat("x", class.Body)
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -35,6 +35,7 @@
 	Withdrawals bool
 	Devices     bool   // CoAP devices send a part of the operations
 	Uploads     bool   // long bodies to servers over HTTP and CoAP
+	Pressure    bool   // nodes with little memory, and clients that press for it
 	Kind        string // kind of the nodes, as in a scenario; empty: tackhub
 }
 
@@ -82,6 +83,9 @@
 	if o.Devices {
 		addDevices(s, rand.New(rand.NewPCG(o.Seed, 0xc0a9)))
 	}
+	if o.Pressure {
+		addPressure(s, rand.New(rand.NewPCG(o.Seed, 0x9e55)))
+	}
 	if !o.Quiet {
 		s.Faults = randomFaults(s, rng)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -168,3 +168,35 @@
 		t.Errorf("uploads that take longer than the window in 50 runs = %d, want at least 25", outlasting)
 	}
 }
+
+// A run under pressure must have the least memory and descriptors that a deployment gives a node, and a response that the node cuts off must be
+// excused only if its server or node had a fault.
+func TestPressurePlanAndExcuses(t *testing.T) {
+	sockets := map[int]bool{}
+	for seed := range uint64(20) {
+		s := Plan(Options{Seed: seed, Pressure: true})
+		sockets[s.Nodes.Sockets] = true
+		if !s.Clients.Pressure || s.Nodes.MemoryMB != pressureMemoryMB {
+			t.Errorf("seed %d: pressure %v with %v MB, want true with %d MB", seed, s.Clients.Pressure, s.Nodes.MemoryMB, pressureMemoryMB)
+		}
+	}
+	if len(sockets) != len(pressureSockets) {
+		t.Errorf("descriptor limits in 20 plans = %v, want all of %v", sockets, pressureSockets)
+	}
+	s := &scenario.Scenario{Faults: []scenario.Fault{
+		{At: 10 * time.Second, Kind: scenario.FaultNodePause, Target: "node:0", For: time.Second},
+		{At: 20 * time.Second, Kind: scenario.FaultHang, Target: "1", For: time.Second},
+		{At: 40 * time.Second, Kind: scenario.FaultNodeReplace, Target: "node:1"},
+	}}
+	c := NewClients(s)
+	for _, test := range []struct {
+		node     int
+		from, to time.Duration
+		want     bool
+	}{{0, 9 * time.Second, 12 * time.Second, false}, {0, 18 * time.Second, 21 * time.Second, true}, {0, 40 * time.Second, 41 * time.Second, false},
+		{1, 40 * time.Second, 41 * time.Second, true}} {
+		if got := c.excused(test.node, test.from, test.to); got != test.want {
+			t.Errorf("node %d, %v to %v: excused = %v, want %v", test.node, test.from, test.to, got, test.want)
+		}
+	}
+}
