Requests for a lost server do not go to the new process at its address

What callers could see: a machine is lost without a word and a new server comes up at its address while the list still names the old one. Requests that were meant for the old server ran in the new process: in another group of repeats, so that a repeat could run a second time, under the other's health record, and past the slow start of the new one.

Cause: the address of a server was used for as long as its id was listed as serving, whoever else the list named there.

It was not seen in the operators' records, and not tried on real processes.

Why it works: of two servers at one address the one with the later start has it, or, with the same start, the one that was named in a later list; servers of one list with the same start keep it both, since their order is not known. The other's attempts end unsent, which is not held against it. When the later one leaves the list the earlier one has its address again. Lists merged by [inventory] have addresses of their own and are not covered.

--- a/internal/discovery/applylist.go
+++ b/internal/discovery/applylist.go
@@ -111,13 +111,20 @@
 	if list.Complete {
 		clear(c.members)
 	}
+	addressesChanged := list.Complete
 	for _, m := range list.Members {
 		id := balancer.ServerID(m.ID)
+		previous, known := c.members[id]
 		if m.Phase == PhaseDeleted {
 			delete(c.members, id)
-		} else {
-			c.members[id] = m
+			addressesChanged = addressesChanged || known
+			continue
 		}
+		addressesChanged = addressesChanged || !known || previous.HostPort != m.HostPort || previous.UpSince != m.UpSince
+		c.members[id] = m
+	}
+	if addressesChanged {
+		c.owners.update(c.members, list.Revision)
 	}
 }
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -67,6 +67,7 @@
 
 	mu        sync.RWMutex
 	members   map[balancer.ServerID]Member
+	owners    addressOwners
 	revision  int64
 	known     bool // members is a list of discovery, not the lack of one; an empty list may be known
 	transport *transport
@@ -99,12 +100,13 @@
 	return c
 }
 
-// Address returns the host:port of a server. It returns false if the server is not in the list or must not get new requests.
+// Address returns the host:port of a server. It returns false if the server is not in the list or must not get new requests, or if
+// another server has come up at its address since.
 func (c *Client) Address(id balancer.ServerID) (string, bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	m := c.members[id]
-	if m.Phase != PhaseServing {
+	if m.Phase != PhaseServing || c.owners.isSuperseded(id) {
 		return "", false
 	}
 	return m.HostPort, true
