A server is told the time that is left when its request is written

Cause: the request was encoded, with the time left, when the attempt began. Connecting takes up to the connect timeout after that, and a process without CPU time adds to it.

Evidence: TestTimeLeftIsThatOfTheWrite failed on the code before and passes.

Why it works: the bytes are made right before they are written, over HTTP and CoAP, from the time at which the attempt expires. An upload that is forwarded before its end tells the whole timeout as before, which runs from its last byte.

--- a/internal/coap/back/attempt.go
+++ b/internal/coap/back/attempt.go
@@ -56,7 +56,7 @@
 		return engine.Completion{Outcome: outcome}
 	}
 	defer conn.release()
-	request, body, err := convertRequest(a.transmission.Request.Bytes)
+	request, body, err := convertRequest(a.transmission.Request.Encoded())
 	if err != nil {
 		t.options.Log.Error("request cannot be converted to CoAP", "code", "coap_request", "error", err)
 		return engine.Completion{Outcome: balancer.NotSent}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -73,8 +73,9 @@
 // OutgoingRequest is a request in the form that is sent to one server.
 type OutgoingRequest struct {
 	Bytes     []byte
-	Body      RequestBody // follows Bytes; nil: none
-	OnWritten func()      // called once when the last byte has been written; may be nil
+	Encode    func() []byte // returns the bytes with the time that is left to the client now; nil: Bytes is written
+	Body      RequestBody   // follows the bytes; nil: none
+	OnWritten func()        // called once when the last byte has been written; may be nil
 
 	// WriteDeadline is the time by which the last byte must have reached the server; zero: no limit. If a
 	// retry arrives after the end of its dedup window, the server may run the request a second time.
@@ -103,6 +104,14 @@
 	ErrClientDisconnected = errors.New("client disconnected before the request was completely written")
 )
 
+// Encoded returns the bytes of the request. The sender calls it right before it writes them.
+func (r OutgoingRequest) Encoded() []byte {
+	if r.Encode != nil {
+		return r.Encode()
+	}
+	return r.Bytes
+}
+
 // NotifyWritten calls OnWritten. The sender calls it when the last byte has been written.
 func (r OutgoingRequest) NotifyWritten() {
 	if r.OnWritten != nil {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -80,12 +80,9 @@
 func (r *request) StartAttempt(
 	server balancer.ServerID, timeout, writeDeadline balancer.Millis, done func(engine.Completion),
 ) engine.Attempt {
-	if math.IsInf(timeout, 1) {
-		timeout = r.timeout // runs from the time at which the body is complete
-	}
 	relayed := &r.handler.options.Counters.Operations.For(r.class.Name).Relayed
 	attempt := engine.OutgoingRequest{
-		Bytes:         r.outgoing.bytes(timeout),
+		Encode:        r.encoder(timeout),
 		Body:          r.outgoing.largeBody,
 		OnWritten:     relayed.Inc,
 		ClientWaiting: r.clientWaiting,
@@ -96,6 +93,16 @@
 	return r.handler.options.Send(server, attempt, done)
 }
 
+// encoder returns a function that encodes the request with the time that is left of an attempt's timeout, which runs from now. The timeout of an
+// attempt whose body is still being uploaded runs from the time at which the body is complete.
+func (r *request) encoder(timeout balancer.Millis) func() []byte {
+	if math.IsInf(timeout, 1) {
+		return func() []byte { return r.outgoing.bytes(r.timeout) }
+	}
+	expiresAt := r.handler.options.Clock.Now() + timeout
+	return func() []byte { return r.outgoing.bytes(expiresAt - r.handler.options.Clock.Now()) }
+}
+
 // clientWaiting reports whether the client is still connected. A client's cancellation may be queued behind hundreds of other
 // messages in the engine's mailbox. An attempt that starts meanwhile would produce a response that no client receives.
 func (r *request) clientWaiting() bool { return !r.client.Disconnected() }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -200,7 +200,7 @@
 // aborted before the last chunk of a large body is written cannot have run.
 func (a *Attempt) write(c *conn) error {
 	request := &a.transmission.Request
-	if _, err := c.Write(request.Bytes); err != nil || request.Body == nil {
+	if _, err := c.Write(request.Encoded()); err != nil || request.Body == nil {
 		return err
 	}
 	return request.Body.ForEachChunk(func(chunk []byte, last bool) error {
