--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -51,12 +51,9 @@
 	requestBegan time.Time // arrival of the current request's first byte; for the first request, when the connection was accepted
 	requests     int       // requests whose head was read
 
-	seenOpen  time.Time // when the client's close, had there been one, was last visible
-	endUnseen bool      // the client may have closed the connection, which could not be seen
+	closing closeVisibility
 
-	bodyBytes int64 // charged for the body of the current request
-	headBytes int64 // charged for its head
-	hasFile   bool  // largeBody is not nil
+	memory requestMemory
 
 	tracked        []trackedRequest // requests whose responses are not yet completely written to the kernel
 	responseBroken bool             // a response was aborted before its end
@@ -83,7 +80,7 @@
 		requestBegan: now,
 		idleSince:    now,
 		lastRead:     now,
-		seenOpen:     now,
+		closing:      closeVisibility{seenOpen: now},
 		idle:         true,
 	}
 	if err := raw.Control(c.checkBacklog); err != nil {
@@ -99,7 +96,7 @@
 	}
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err == nil {
-		c.seenOpen = c.opened.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+		c.closing.seenOpen = c.opened.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
 	}
 }
 
@@ -119,7 +116,7 @@
 	defer c.mu.Unlock()
 	if n > 0 {
 		if n < len(p) { // nothing is left unread, so a close would have been seen
-			c.seenOpen = now
+			c.closing.seenOpen = now
 		}
 		c.recordArrival(arrived)
 		return n, err
--- a/internal/ingress/disconnect.go
+++ b/internal/ingress/disconnect.go
@@ -23,6 +23,12 @@
 	maxUnseenTime = 50 * time.Millisecond
 )
 
+// closeVisibility is what is known of a client's close that may lie behind unread bytes.
+type closeVisibility struct {
+	seenOpen time.Time // when the close, had there been one, was last visible
+	unseen   bool      // the client may have closed the connection, which could not be seen
+}
+
 // peekResult is the state of a connection's receive buffer.
 type peekResult int
 
@@ -66,14 +72,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !closeUnseen {
-		c.seenOpen = now
+		c.closing.seenOpen = now
 		return false
 	}
-	if c.uploading || now.Sub(c.seenOpen) <= maxUnseenTime {
+	if c.uploading || now.Sub(c.closing.seenOpen) <= maxUnseenTime {
 		return false
 	}
 	c.setCloseReason(closeClientUnseen)
-	c.endUnseen = true
+	c.closing.unseen = true
 	_ = c.Conn.SetReadDeadline(pastDeadline) // ends the pending read of WatchDisconnect
 	return true
 }
@@ -82,7 +88,7 @@
 func (c *conn) mayBeClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.endUnseen
+	return c.closing.unseen
 }
 
 // closeMayBeUnseen reports whether so much lies unread on a connection that the client may have to hold further bytes back, and its close
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -37,6 +37,13 @@
 	uncountedHeadBytes = 1 << 10
 )
 
+// requestMemory is the memory that the current request of a connection uses.
+type requestMemory struct {
+	bodyBytes int64 // charged for its body
+	headBytes int64 // charged for its head
+	hasFile   bool  // its body is in a file
+}
+
 // reclaim closes connections with incomplete requests that have received nothing for minEvictSilentTime and whose body uses memory or a
 // file, longest silent first. If there are none, it closes connections that are idle.
 func (s *Server) reclaim() {
@@ -111,9 +118,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p == memory.RequestBodies {
-		c.bodyBytes += bytes
+		c.memory.bodyBytes += bytes
 	} else {
-		c.headBytes += bytes
+		c.memory.headBytes += bytes
 	}
 	return true
 }
@@ -121,10 +128,10 @@
 // releaseMemory releases what charge has charged for the current request.
 func (c *conn) releaseMemory() {
 	c.mu.Lock()
-	bodyBytes := c.bodyBytes
-	headBytes := c.headBytes
-	c.bodyBytes = 0
-	c.headBytes = 0
+	bodyBytes := c.memory.bodyBytes
+	headBytes := c.memory.headBytes
+	c.memory.bodyBytes = 0
+	c.memory.headBytes = 0
 	c.mu.Unlock()
 	c.server.options.Memory.Release(memory.RequestBodies, bodyBytes)
 	c.server.options.Memory.Release(memory.ClientConnections, headBytes)
@@ -134,5 +141,5 @@
 func (c *conn) hasBody() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.bodyBytes > 0 || c.hasFile
+	return c.memory.bodyBytes > 0 || c.memory.hasFile
 }
--- a/internal/ingress/requestbody.go
+++ b/internal/ingress/requestbody.go
@@ -196,5 +196,5 @@
 func (c *conn) setHasFile(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasFile = on
+	c.memory.hasFile = on
 }
