--- a/cmd/tackhub/stalledupload_test.go
+++ b/cmd/tackhub/stalledupload_test.go
@@ -26,3 +26,23 @@
 		}
 	}
 }
+
+// The process has no CPU time while the answers of its server wait in the kernel's buffer. The node once counted that time as the server's, took the
+// server for slow, and rejected the requests of clients while the server was idle.
+func TestStandstillDoesNotMakeServerSlow(t *testing.T) {
+	const standstill = 600 * time.Millisecond
+	s := startBackend(t, "s1", respondAfterTime(20*time.Millisecond, respond(200, "done")))
+	p, _ := startWithBackends(t, "", s)
+	for range 4 {
+		received := len(s.requests())
+		pending := p.send(request("look", 1400))
+		eventually(t, "the request at the server", func() bool { return len(s.requests()) > received })
+		p.whileSuspended(func() { time.Sleep(standstill) })
+		await(t, "the response after the standstill", pending)
+		for i := range 5 {
+			if resp := p.mustDo(request("look", 1400)); resp.status != 200 {
+				t.Fatalf("request %d after the standstill: status %d, want 200", i, resp.status)
+			}
+		}
+	}
+}
