Time in which the process does not run does not count as its server's

What callers saw: after a moment without CPU time ordinary requests were rejected for seconds although the server was idle.

Cause: an attempt's time ran from before its goroutine was scheduled to the moment at which the answer was read. Behind hundreds of clients on a quarter of a core that was some hundred milliseconds, which the balancer took for the server's unit time.

Why it works: the time begins when the attempt runs, and ends when the answer came into the kernel's buffer (TCP_INFO, as for the arrival of requests), where it lay there for 20 ms or more. socket.BufferTime serves both sides.

The division of the memory limit changes with it: 9 MB for the program, which is what is resident of it here, and 7 MB for the node's own heap, in place of 11 and 5, so that the collector has 2 MB more beside files.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -20,10 +20,6 @@
 	// last response. Closing a connection with unread bytes at once would reset it.
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 256 << 10
-
-	// minKernelBufferTime is the shortest time in the kernel's buffer that is taken into account, because the kernel measures it
-	// in ticks of up to 10 ms.
-	minKernelBufferTime = 20 * time.Millisecond
 )
 
 // pastDeadline is a read deadline that makes the pending read and every later read fail at once.
@@ -186,19 +182,7 @@
 // kernelBufferTime returns how long the bytes just read were waiting in the kernel's buffer. Read subtracts this time from the
 // arrival time. Otherwise a request that waited in the buffer during a pause of the process or behind a long backlog would count
 // as new, and the node would forward it although its client has already given up.
-func (c *conn) kernelBufferTime() time.Duration {
-	var buffered time.Duration
-	_ = c.raw.Control(func(fd uintptr) { // if it fails, the function returns 0
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			buffered = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	if buffered < minKernelBufferTime {
-		return 0
-	}
-	return buffered
-}
+func (c *conn) kernelBufferTime() time.Duration { return socket.BufferTime(c.raw) }
 
 // hasUnread reports whether the kernel's buffer holds unread bytes.
 func (c *conn) hasUnread() bool {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -25,10 +25,10 @@
 
 	// programBytes is the resident memory that the Go runtime does not count: the program's code and data,
 	// and the C library.
-	programBytes = 11 << 20
+	programBytes = 9 << 20
 
 	// ownHeapBytes is the memory of the Go runtime at rest, garbage included.
-	ownHeapBytes = 5 << 20
+	ownHeapBytes = 7 << 20
 
 	// minRuntimeBytes is the least soft memory limit. Below it the runtime would collect garbage all the time.
 	minRuntimeBytes = 10 << 20
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -23,6 +24,26 @@
 	}
 }
 
+// minBufferTime is the shortest time in the kernel's buffer that is taken into account, because the kernel measures it in ticks of up to
+// 10 ms.
+const minBufferTime = 20 * time.Millisecond
+
+// BufferTime returns for how long the latest bytes of a TCP connection have been in the kernel's buffer. It is 0 if that is less than 20 ms or
+// unknown.
+func BufferTime(raw syscall.RawConn) time.Duration {
+	var buffered time.Duration
+	_ = raw.Control(func(fd uintptr) { // if it fails, the time is unknown
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			buffered = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	if buffered < minBufferTime {
+		return 0
+	}
+	return buffered
+}
+
 // PeerClosed reports whether the peer has closed the connection or the connection has failed, even if unread bytes remain.
 func PeerClosed(fd uintptr) bool {
 	const closed = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -27,6 +27,7 @@
 
 	mu        sync.Mutex
 	startTime time.Time // Completion.Elapsed is measured from here
+	answerAt  time.Time // to here; zero: there is no answer, Elapsed is measured to the end of the attempt
 	conn      *conn     // nil before attach and after detach
 }
 
@@ -66,6 +67,7 @@
 // written.
 func (a *Attempt) run() {
 	defer a.cancel()
+	a.beginNow()
 	if a.bodyGone { // the request's cancellation is still queued in the engine's mailbox
 		a.reportCompletion(notSent(engine.ErrClientDisconnected))
 		return
@@ -95,6 +97,20 @@
 	a.roundTrip(c)
 }
 
+// beginNow makes the elapsed time count from now: until run was scheduled the process had no CPU time, which is not the server's.
+func (a *Attempt) beginNow() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.startTime = time.Now()
+}
+
+// setAnswerTime sets the time at which the server's answer arrived, if it was read much later.
+func (a *Attempt) setAnswerTime(arrived time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answerAt = arrived
+}
+
 // withhold ends an attempt that must not write its request, and gives its connection back. The connection is still unused, so another
 // request can use it unless it was closed by an abort or its server was withdrawn.
 func (a *Attempt) withhold(c *conn, reason error) {
@@ -161,6 +177,9 @@
 	var readReason closeReason
 	received, readReason, err = a.exchange(c, resp)
 	result := a.completion(resp, received.body, readReason, err)
+	if waited := c.bufferTimeOfAnswer; waited > 0 {
+		a.setAnswerTime(time.Now().Add(-waited))
+	}
 	if result.Outcome == balancer.OK {
 		a.pool.recordAnswer(c, c.answerAt.Sub(c.writtenAt))
 	}
@@ -186,6 +205,7 @@
 func (a *Attempt) exchange(c *conn, resp *fasthttp.Response) (response, closeReason, error) {
 	c.requests++
 	c.listRevision = a.listRevision
+	c.bufferTimeOfAnswer = 0
 	if err := a.write(c); err != nil {
 		a.transmission.Revoke() // the last byte was not written
 		return response{}, closeWriteFailed, err
@@ -245,6 +265,7 @@
 func (a *Attempt) reportCompletion(result engine.Completion) {
 	a.mu.Lock()
 	startTime := a.startTime
+	answerAt := a.answerAt
 	a.mu.Unlock()
 	if a.transmission.Aborted() {
 		a.pool.options.Counters.Attempts.Late.Inc()
@@ -253,7 +274,10 @@
 		}
 		return
 	}
-	result.Elapsed = clock.Millis(time.Since(startTime))
+	if answerAt.IsZero() {
+		answerAt = time.Now()
+	}
+	result.Elapsed = clock.Millis(max(0, answerAt.Sub(startTime)))
 	a.done(result)
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,15 +29,16 @@
 // conn is a connection to a server. The pool owns it while it is idle; otherwise the attempt, probe or Stream that uses it does.
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
-	server    balancer.ServerID
-	addr      string
-	opened    time.Time
-	delay     time.Duration // estimated time until written bytes reach the server
-	idleSince time.Time
-	writtenAt time.Time // when the last request was written
-	answerAt  time.Time // when the first byte of the last answer was read
-	requests  int       // requests written on this connection, including incomplete ones
+	reader             *bufio.Reader
+	server             balancer.ServerID
+	addr               string
+	opened             time.Time
+	delay              time.Duration // estimated time until written bytes reach the server
+	idleSince          time.Time
+	writtenAt          time.Time     // when the last request was written
+	answerAt           time.Time     // when the first byte of the last answer arrived
+	bufferTimeOfAnswer time.Duration // for how long it was in the kernel's buffer
+	requests           int           // requests written on this connection, including incomplete ones
 
 	unsolicited  bool          // the server has sent bytes while the connection was idle
 	suspectTime  time.Duration // time of an answer that came much sooner than all earlier ones of the server
@@ -62,6 +63,19 @@
 	}
 }
 
+// bufferTime returns for how long the latest bytes of the server have been in the kernel's buffer, because this process had no CPU time.
+func (c *conn) bufferTime() time.Duration {
+	tcpConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcpConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	return socket.BufferTime(raw)
+}
+
 // hasNoPendingInput reports whether an idle connection is still open and has no unread bytes. It does not consume any input.
 func (c *conn) hasNoPendingInput() bool {
 	rawConn, err := c.Conn.(syscall.Conn).SyscallConn()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -42,7 +42,8 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return response{}, closeReset, err
 	}
-	c.answerAt = time.Now()
+	c.bufferTimeOfAnswer = c.bufferTime()
+	c.answerAt = time.Now().Add(-c.bufferTimeOfAnswer)
 	if err := skipInterimResponses(c.reader); err != nil {
 		return response{}, closeBadResponse, err
 	}
