A head that begins on an idle connection has the time of a head, not what is left of the idle time

readHead reads a head as a whole, under the limit that was set while the connection was idle. A head that began near the end of that time was read on with the right limit afterwards, but the connection's end was logged as slow_request.

--- a/internal/ingress/readhead.go
+++ b/internal/ingress/readhead.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"time"
 )
 
 const (
@@ -61,6 +62,9 @@
 		return c.Read(p[:min(len(p), maxUnframedRead)])
 	}
 	n, err := c.Read(p)
+	if n > 0 && c.requests > 0 { // until now the limit was that of an idle connection
+		err = errors.Join(err, c.SetReadDeadline(time.Now().Add(headTimeout)))
+	}
 	for n > 0 && err == nil && n < len(p) && headSize(p[:n]) == 0 && countFields(p[:n]) <= maxHeadFields {
 		var more int
 		more, err = c.Read(p[n:])
