Memory is checked by every measurement, not by those that a second one confirms

The second measurement weakened the check and could hide a short peak, in the test and in the soak; it is gone.

--- a/cmd/tackhub/pressure_test.go
+++ b/cmd/tackhub/pressure_test.go
@@ -75,12 +75,8 @@
 	t.Helper()
 	var peak memoryPeak
 	end := repeatUntilStopped(func() {
-		if measureMemory(t, processes).total > peak.total {
-			// Files that are replaced during a measurement count twice. A new peak is therefore measured again while nothing changes.
-			now := measureSuspended(t, processes)
-			if now.total > peak.total {
-				peak = now
-			}
+		if now := measureMemory(t, processes); now.total > peak.total {
+			peak = now
 		}
 		time.Sleep(memorySampleInterval)
 	})
@@ -102,23 +98,6 @@
 	return now
 }
 
-// measureSuspended measures the memory of the processes of a node while all of them are suspended.
-func measureSuspended(t *testing.T, processes []*nodeProcess) (now memoryPeak) {
-	t.Helper()
-	measure := func() { now = measureMemory(t, processes) }
-	for _, p := range processes {
-		inner := measure
-		measure = func() {
-			p.whileSuspended(func() {
-				eventually(t, "the suspension", p.suspended)
-				inner()
-			})
-		}
-	}
-	measure()
-	return now
-}
-
 // deletedFilesMB returns the size of the files that the process has open and that have no name any more.
 func (p *nodeProcess) deletedFilesMB() float64 {
 	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
--- a/lab/nodeproc/memory.go
+++ b/lab/nodeproc/memory.go
@@ -36,8 +36,7 @@
 	}
 }
 
-// measurePeak measures the memory of a node's process. A measurement is not atomic: files that are replaced meanwhile count twice. A
-// new peak therefore counts only as far as a second measurement confirms it.
+// measurePeak measures the memory of a node's process.
 func (n *Node) measurePeak() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -45,12 +44,6 @@
 		return
 	}
 	now := measureMemory(n.cmd.Process.Pid)
-	if now.Total() <= n.peak.Total() {
-		return
-	}
-	if again := measureMemory(n.cmd.Process.Pid); again.Total() < now.Total() {
-		now = again
-	}
 	if now.Total() > n.peak.Total() {
 		now.At = n.group.now()
 		n.peak = now
