Slow readers' test: a rejected request counts as a failure again

TestManySlowlyReadResponsesAreNotCutOff repeated requests that got 503, with a reason that was not traced.

Tried and left out: complete requests with long heads in the cases of memory. 100 of them at one moment for one server are shed by the balancer (no_place 93 to 114 in five of six runs, memory 21 MB), so they say nothing of slow clients.

--- a/cmd/tackhub/slowreader_test.go
+++ b/cmd/tackhub/slowreader_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,9 +24,6 @@
 	}
 }
 
-// errRejected is returned for a request that was rejected with status 503.
-var errRejected = errors.New("rejected")
-
 // readSlowly requests a response and reads it at slowReadRate for the given time. It returns the number of bytes read.
 func (p *nodeProcess) readSlowly(forTime time.Duration) (int, error) {
 	c, err := p.dial()
@@ -45,9 +41,6 @@
 	if err != nil {
 		return 0, err
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return 0, errRejected
-	}
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("status %d", resp.StatusCode)
 	}
@@ -106,10 +99,6 @@
 		time.Sleep(5 * time.Millisecond)
 		reading.Go(func() {
 			n, err := p.readSlowly(5 * time.Second)
-			for errors.Is(err, errRejected) { // the balancer takes servers for busy while they write long responses
-				time.Sleep(50 * time.Millisecond)
-				n, err = p.readSlowly(5 * time.Second)
-			}
 			if err != nil {
 				mu.Lock()
 				defer mu.Unlock()
