--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -73,3 +73,34 @@
 		}
 	}
 }
+
+// The process has no CPU time while it connects, so that the connect timeout passes although the server has accepted the connection. The server
+// must not count as unreachable. A server that does not accept must, after one further try at most.
+func TestConnectTimeoutInStandstillIsNotTheServers(t *testing.T) {
+	addr, _ := acceptingListener(t)
+	p, _ := testPool(fixedResolver{"s1": addr}, 1, 1)
+	p.dialer.Timeout = 20 * time.Millisecond
+	dials := 0
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		dials++
+		if dials == 1 {
+			time.Sleep(5 * p.dialer.Timeout)
+		}
+		return nil
+	}
+	if _, err := p.acquire(context.Background(), "s1"); err != nil {
+		t.Errorf("error %v after a standstill during the first dial, want a connection", err)
+	}
+	p, count := testPool(fixedResolver{"s1": addr}, 1, 1)
+	p.dialer.Timeout = 20 * time.Millisecond
+	dials = 0
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		dials++
+		time.Sleep(5 * p.dialer.Timeout)
+		return nil
+	}
+	if _, err := p.acquire(context.Background(), "s1"); err == nil || dials != 2 || count.ServerEnds.Get(string(closeConnectTimeout)) != 1 {
+		t.Errorf("error %v after %d dials, counted %d times as %s, want an error after 2, counted once", err, dials,
+			count.ServerEnds.Get(string(closeConnectTimeout)), closeConnectTimeout)
+	}
+}
