A connect timeout that passes in a standstill is tried once more

What callers saw: at a quarter of a core, while hundreds of clients arrived, an ordinary request was rejected although its server was idle and accepted connections.

Cause: the connect timeout ran on while the process had no CPU time. The connection was up, nobody looked, and the server counted as unreachable.

Evidence: TestConnectTimeoutInStandstillIsNotTheServers failed on the code before (its trace: outcomes unreachable 1 and 2) and passes.

Why it works: a timeout that came 10 ms or more after its time shows that the process did not run. One further try finds the server that accepts, and fails like before for one that does not.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -18,9 +18,12 @@
 	if !p.reserve(id) {
 		return nil, errNoCapacity
 	}
-	p.options.Counters.Servers.Dialed.Inc()
 	began := time.Now()
-	netConn, err := p.dialer.DialContext(ctx, "tcp", addr)
+	netConn, err := p.dialOnce(ctx, addr)
+	if p.timedOutInStandstill(ctx, err, time.Since(began)) {
+		began = time.Now()
+		netConn, err = p.dialOnce(ctx, addr)
+	}
 	if err != nil {
 		p.unreserve(id)
 		p.recordClose(&conn{server: id, addr: addr, opened: time.Now()}, dialReason(ctx, err), err)
@@ -40,6 +43,21 @@
 	}, nil
 }
 
+// minStandstill is by how much a connect timeout must be exceeded to show that the process had no CPU time.
+const minStandstill = 10 * time.Millisecond
+
+// dialOnce opens a connection to a server.
+func (p *Pool) dialOnce(ctx context.Context, addr string) (net.Conn, error) {
+	p.options.Counters.Servers.Dialed.Inc()
+	return p.dialer.DialContext(ctx, "tcp", addr)
+}
+
+// timedOutInStandstill reports whether connecting took so much longer than the connect timeout that the process had no CPU time. The server
+// may have accepted the connection long before.
+func (p *Pool) timedOutInStandstill(ctx context.Context, err error, took time.Duration) bool {
+	return err != nil && dialReason(ctx, err) == closeConnectTimeout && took > p.dialer.Timeout+minStandstill
+}
+
 // recordDial returns the shortest time that it has taken to open a connection to a server, which is close to a round trip. It is kept for
 // as long as there is any connection to the server: one that was opened while packets got lost took much longer than a round trip.
 func (p *Pool) recordDial(id balancer.ServerID, took time.Duration) time.Duration {
