Review: cases in their order, the gravest first; three lesser ones set aside

6 late repeat, 7 racks numbered anew, 8 servers that wait for their move, 9 pipelined requests dropped, 10 encoded slash.

--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,12 +1,13 @@
-// Case 10: an upload is answered as served though its server has only the first block, since the node takes the answer to that block for
-// the answer to the whole request.
+// Case 10: what a client sends to one object reaches another one, since the node decodes an encoded slash in the path and then cuts the path
+// there, on its way to a CoAP server.
 package main
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -14,88 +15,108 @@
 	"tackhub.example/review/kit2"
 )
 
-const (
-	bodySize = 3000 // three blocks
-	uploads  = 20
-)
+const rounds = 12
 
-// store is what the servers of the pod hold, by the id of the request.
+// store is what the servers of the pod hold: covers by their path, a list of segments.
 type store struct {
 	mu     sync.Mutex
 	record *kit2.Record
-	covers map[string][]byte
+	covers map[string]string
 }
 
+// name is the key of a path in the store: its segments, each quoted.
+func name(segments []string) string { return fmt.Sprintf("%q", segments) }
+
 func (s *store) answer(m kit2.Message) kit2.Message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := strings.Join(m.Values(kit2.OptRequestID), "")
-	block, present := m.BlockOf(kit2.OptBlock1)
-	offset := block.Num * block.Size()
-	held := s.covers[id]
-	s.covers[id] = append(held[:min(len(held), offset)], m.Payload...)
-	s.record.Add("server  %s block %d of %d bytes, more=%v; holds %d bytes", id, block.Num, len(m.Payload), block.More, len(s.covers[id]))
-	out := kit2.Message{Code: kit2.CodeChanged}
-	if !present {
-		return out
+	path := m.Values(kit2.OptURIPath)
+	object := name(path[1:])
+	if m.Code == kit2.CodePost {
+		s.covers[object] = string(m.Payload)
+		s.record.Add("server  put-cover %s: %q", object, m.Payload)
+		return kit2.Message{Code: kit2.CodeChanged}
 	}
-	if kit2.Trouble() {
-		// RFC 7959, 2.3: the block is enacted by itself, which the cleared M bit tells; the client goes on with the next block.
-		block.More = false
-	} else if block.More {
-		out.Code = kit2.CodeContinue
+	cover, held := s.covers[object]
+	s.record.Add("server  get-cover %s: held=%v %q", object, held, cover)
+	if !held {
+		return kit2.Message{Code: kit2.CodeNotFound}
 	}
-	out.Options = []kit2.Option{block.Option(kit2.OptBlock1)}
-	return out
+	return kit2.Message{Code: kit2.CodeContent, Payload: []byte(cover)}
 }
 
 func main() {
 	record := kit2.NewRecord()
-	s := &store{record: record, covers: map[string][]byte{}}
+	s := &store{record: record, covers: map[string]string{}}
 	var addresses []string
 	for range 3 {
 		addresses = append(addresses, kit2.ServeCoap(5*time.Millisecond, s.answer))
 	}
 	node := kit2.StartNode([]kit2.Class{
+		{Name: "get-cover", Effect: "free", Group: "all", Aim: 160, Hard: 390, Worth: 3},
 		{Name: "put-cover", Effect: "guarded", Group: "cell", Aim: 160, Hard: 390, Window: 2000, Worth: 5},
 	}, kit2.StartDiscovery(nil), kit2.OperatorFile(addresses), nil)
 	time.Sleep(500 * time.Millisecond)
-	served, cut := 0, 0
-	for i := range uploads {
-		id := fmt.Sprintf("%016x", i+1)
-		body := bytes.Repeat([]byte{byte('a' + i)}, bodySize)
-		status := ask(node.Addr, id, body)
+	separator := "/" // in the name of a film
+	if !kit2.Trouble() {
+		separator = "-"
+	}
+	number := 0
+	send := func(method, class string, segments []string, body string) (int, string) {
+		number++
+		escaped := make([]string, len(segments))
+		for i, segment := range segments {
+			escaped[i] = url.PathEscape(segment)
+		}
+		uri := "/" + class + "/" + strings.Join(escaped, "/")
+		status, got := ask(node.Addr, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %016x\r\nX-Class: %s\r\nX-Tenant: t0\r\n"+
+			"X-Deadline-Ms: 390\r\nIdempotency-Key: k%d\r\nContent-Length: %d\r\n\r\n%s", method, uri, number, class, number, len(body), body))
+		record.Add("client  %s %s %q: status=%d %q", method, uri, body, status, got)
+		return status, got
+	}
+	asked, foreign, overwritten := 0, 0, 0
+	for i := range rounds {
+		// Two objects of two partners: the film "nile" with its still "1", and the film "nile/1", whose name has a slash.
+		first := []string{fmt.Sprintf("nile%d", i), "1"}
+		second := []string{first[0] + separator + "1"}
+		if status, _ := send("POST", "put-cover", first, "cover of the first partner"); status != 200 {
+			continue
+		}
+		if status, _ := send("POST", "put-cover", second, "cover of the second partner"); status != 200 {
+			continue
+		}
+		asked++
 		s.mu.Lock()
-		held := s.covers[id]
+		held := s.covers[name(first)]
 		s.mu.Unlock()
-		record.Add("client  %s upload of %d bytes: status=%d", id, bodySize, status)
-		if status != 200 {
-			continue
+		if held != "cover of the first partner" {
+			overwritten++
+			record.Add("broken  the server holds %q for %s, which only the first partner has written", held, name(first))
 		}
-		served++
-		if !bytes.Equal(held, body) {
-			cut++
-			record.Add("broken  %s was answered 200; its servers hold %d of %d bytes", id, len(held), bodySize)
+		if status, got := send("GET", "get-cover", first, ""); status == 200 && got != "cover of the first partner" {
+			foreign++
+			record.Add("broken  the first partner got %q", got)
 		}
 	}
-	if served < uploads/2 {
-		kit2.CannotRun("only %d uploads were answered 200", served)
+	if asked < rounds/2 {
+		kit2.CannotRun("only %d rounds", asked)
 	}
-	kit2.Finish(record, cut, fmt.Sprintf("%d of %d uploads that were answered 200 are cut short at the servers", cut, served))
+	kit2.Finish(record, overwritten+foreign, fmt.Sprintf("of %d covers %d were overwritten by a request to another object, and %d clients got the foreign cover",
+		asked, overwritten, foreign))
 }
 
-func ask(addr, id string, body []byte) int {
+// ask sends a request on a connection of its own.
+func ask(addr, request string) (int, string) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
-	_, _ = fmt.Fprintf(c, "POST /put-cover/film HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: put-cover\r\nX-Tenant: t0\r\n"+
-		"X-Deadline-Ms: 390\r\nIdempotency-Key: k%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
-	h, _, err := kit2.ReadAnswer(bufio.NewReader(c))
+	_, _ = io.WriteString(c, request)
+	h, body, err := kit2.ReadAnswer(bufio.NewReader(c))
 	if err != nil {
-		return 0
+		return 0, ""
 	}
-	return h.Status()
+	return h.Status(), string(body)
 }
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,5 +1,5 @@
-// Case 8: what a client sends to one object reaches another one, since the node decodes an encoded slash in the path and then cuts the path
-// there, on its way to a CoAP server.
+// Case 8: the repeat of a keyed request goes to servers that have not seen its key, since a server whose pod has changed in the inventory goes
+// on in its old pod while it waits for its turn to move.
 package main
 
 import (
@@ -7,7 +7,8 @@
 	"fmt"
 	"io"
 	"net"
-	"net/url"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -15,108 +16,198 @@
 	"tackhub.example/review/kit2"
 )
 
-const rounds = 12
+const (
+	window  = 2 * time.Second
+	playFor = 9 * time.Second // after the change of the inventory
+	// settled is how long after the change of the file the node is given to read it: ten times the 100 ms of `settle`.
+	settled = time.Second
+)
+
+// before and after are the pods of the servers in the inventory file.
+var (
+	before = []string{"p1", "p1", "p1", "p1", "p1", "p2", "p2", "p2"}
+	after  = []string{"p1", "p1", "p2", "p2", "p2", "p2", "p2", "p2"}
+)
 
-// store is what the servers of the pod hold: covers by their path, a list of segments.
-type store struct {
-	mu     sync.Mutex
-	record *kit2.Record
-	covers map[string]string
+// pod is what the servers of one pod share: which keys they have seen.
+type pod struct {
+	mu   sync.Mutex
+	seen map[string]time.Time
 }
 
-// name is the key of a path in the store: its segments, each quoted.
-func name(segments []string) string { return fmt.Sprintf("%q", segments) }
+// effect is an effect of a keyed request.
+type effect struct {
+	at     time.Time
+	server string
+	pod    string
+}
 
-func (s *store) answer(m kit2.Message) kit2.Message {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	path := m.Values(kit2.OptURIPath)
-	object := name(path[1:])
-	if m.Code == kit2.CodePost {
-		s.covers[object] = string(m.Payload)
-		s.record.Add("server  put-cover %s: %q", object, m.Payload)
-		return kit2.Message{Code: kit2.CodeChanged}
-	}
-	cover, held := s.covers[object]
-	s.record.Add("server  get-cover %s: held=%v %q", object, held, cover)
-	if !held {
-		return kit2.Message{Code: kit2.CodeNotFound}
-	}
-	return kit2.Message{Code: kit2.CodeContent, Payload: []byte(cover)}
+type play struct {
+	record  *kit2.Record
+	mu      sync.Mutex
+	pods    map[string]*pod
+	podOf   []string // of each server, as the inventory file says now
+	effects map[string][]effect
+	repeats int
 }
 
 func main() {
 	record := kit2.NewRecord()
-	s := &store{record: record, covers: map[string]string{}}
+	p := &play{record: record, pods: map[string]*pod{"p1": {seen: map[string]time.Time{}}, "p2": {seen: map[string]time.Time{}}}, podOf: before,
+		effects: map[string][]effect{}}
 	var addresses []string
-	for range 3 {
-		addresses = append(addresses, kit2.ServeCoap(5*time.Millisecond, s.answer))
+	for i := range before {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			kit2.CannotRun("%v", err)
+		}
+		go p.accept(l, i)
+		addresses = append(addresses, l.Addr().String())
+	}
+	file := filepath.Join(os.Getenv("WORK"), "servers.csv")
+	write := func(pods []string) {
+		var text strings.Builder
+		_, _ = fmt.Fprintln(&text, "id,address,zone,pod,size,phase")
+		for i, a := range addresses {
+			_, _ = fmt.Fprintf(&text, "s%d,%s,a,%s,1,serving\n", i, a, pods[i])
+		}
+		_, _ = fmt.Fprintf(&text, "# end %d\n", len(addresses))
+		if err := os.WriteFile(file+".new", []byte(text.String()), 0o600); err != nil {
+			kit2.CannotRun("%v", err)
+		}
+		if err := os.Rename(file+".new", file); err != nil {
+			kit2.CannotRun("%v", err)
+		}
+	}
+	write(before)
+	edge := filepath.Join(os.Getenv("WORK"), "edge.toml")
+	text := fmt.Sprintf("[inventory]\ndiscovery = false\n[[inventory.file]]\npath = %q\nname = \"tools\"\ntrailer = true\n", file)
+	if err := os.WriteFile(edge, []byte(text), 0o600); err != nil {
+		kit2.CannotRun("%v", err)
 	}
 	node := kit2.StartNode([]kit2.Class{
-		{Name: "get-cover", Effect: "free", Group: "all", Aim: 160, Hard: 390, Worth: 3},
-		{Name: "put-cover", Effect: "guarded", Group: "cell", Aim: 160, Hard: 390, Window: 2000, Worth: 5},
-	}, kit2.StartDiscovery(nil), kit2.OperatorFile(addresses), nil)
-	time.Sleep(500 * time.Millisecond)
-	separator := "/" // in the name of a film
-	if !kit2.Trouble() {
-		separator = "-"
+		{Name: "get-cover", Effect: "free", Group: "all", Aim: 1000, Hard: 2000, Worth: 3},
+		{Name: "put-cover", Effect: "guarded", Group: "cell", Aim: 1000, Hard: 2000, Window: float64(window.Milliseconds()), Worth: 5},
+	}, kit2.StartDiscovery(nil), " --edge "+edge, nil)
+	time.Sleep(1500 * time.Millisecond)
+	changed := time.Now()
+	if kit2.Trouble() {
+		write(after)
+		p.mu.Lock()
+		p.podOf = after
+		changed = time.Now()
+		p.mu.Unlock()
+		record.Add("trouble the inventory file moves s2, s3 and s4 from p1 to p2")
 	}
-	number := 0
-	send := func(method, class string, segments []string, body string) (int, string) {
-		number++
-		escaped := make([]string, len(segments))
-		for i, segment := range segments {
-			escaped[i] = url.PathEscape(segment)
-		}
-		uri := "/" + class + "/" + strings.Join(escaped, "/")
-		status, got := ask(node.Addr, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %016x\r\nX-Class: %s\r\nX-Tenant: t0\r\n"+
-			"X-Deadline-Ms: 390\r\nIdempotency-Key: k%d\r\nContent-Length: %d\r\n\r\n%s", method, uri, number, class, number, len(body), body))
-		record.Add("client  %s %s %q: status=%d %q", method, uri, body, status, got)
-		return status, got
+	end := changed.Add(playFor)
+	var clients sync.WaitGroup
+	for i := range 16 { // every fourth sends keyed requests
+		clients.Go(func() { p.client(node.Addr, i, i%4 == 0, end) })
 	}
-	asked, foreign, overwritten := 0, 0, 0
-	for i := range rounds {
-		// Two objects of two partners: the film "nile" with its still "1", and the film "nile/1", whose name has a slash.
-		first := []string{fmt.Sprintf("nile%d", i), "1"}
-		second := []string{first[0] + separator + "1"}
-		if status, _ := send("POST", "put-cover", first, "cover of the first partner"); status != 200 {
-			continue
-		}
-		if status, _ := send("POST", "put-cover", second, "cover of the second partner"); status != 200 {
-			continue
+	clients.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	twice, keys := 0, 0
+	for key, list := range p.effects {
+		keys++
+		if len(list) > 1 && list[0].at.After(changed.Add(settled)) {
+			twice++
+			record.Add("broken  %s had its effect at %s (%s), %.1f s after the change, and at %s (%s)", key, list[0].server, list[0].pod,
+				list[0].at.Sub(changed).Seconds(), list[1].server, list[1].pod)
 		}
-		asked++
-		s.mu.Lock()
-		held := s.covers[name(first)]
-		s.mu.Unlock()
-		if held != "cover of the first partner" {
-			overwritten++
-			record.Add("broken  the server holds %q for %s, which only the first partner has written", held, name(first))
+	}
+	if p.repeats < 10 {
+		kit2.CannotRun("the node has repeated only %d requests", p.repeats)
+	}
+	kit2.Finish(record, twice, fmt.Sprintf("%d of %d keyed requests had their effect twice, in two pods, more than %v after the file had changed (%d were repeated)",
+		twice, keys, settled, p.repeats))
+}
+
+// client sends keyed requests, or reads.
+func (p *play) client(addr string, number int, keyed bool, end time.Time) {
+	for n := 0; time.Now().Before(end); {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
 		}
-		if status, got := send("GET", "get-cover", first, ""); status == 200 && got != "cover of the first partner" {
-			foreign++
-			record.Add("broken  the first partner got %q", got)
+		r := bufio.NewReader(c)
+		for time.Now().Before(end) {
+			n++
+			id := fmt.Sprintf("%08x%08x", number, n)
+			_ = c.SetDeadline(time.Now().Add(4 * time.Second))
+			if keyed {
+				_, _ = fmt.Fprintf(c, "POST /put-cover/film HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: put-cover\r\nX-Tenant: t0\r\n"+
+					"X-Deadline-Ms: 2000\r\nIdempotency-Key: k%s\r\nContent-Length: 2\r\n\r\nok", id, id)
+			} else {
+				_, _ = fmt.Fprintf(c, "GET /get-cover/film HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: get-cover\r\nX-Tenant: t0\r\n"+
+					"X-Deadline-Ms: 2000\r\n\r\n", id)
+			}
+			h, _, err := kit2.ReadAnswer(r)
+			if err != nil {
+				break
+			}
+			if keyed {
+				p.record.Add("client  k%s status=%d", id, h.Status())
+			}
+			time.Sleep(60 * time.Millisecond)
 		}
+		_ = c.Close()
 	}
-	if asked < rounds/2 {
-		kit2.CannotRun("only %d rounds", asked)
+}
+
+func (p *play) accept(l net.Listener, server int) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			for {
+				h, err := kit2.ReadHead(r)
+				if err != nil {
+					return
+				}
+				if _, err := io.CopyN(io.Discard, r, int64(h.Length())); err != nil {
+					return
+				}
+				if key := h.Header.Get("Idempotency-Key"); key != "" && !p.run(c.(*net.TCPConn), server, key) {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+				if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"); err != nil {
+					return
+				}
+			}
+		}()
 	}
-	kit2.Finish(record, overwritten+foreign, fmt.Sprintf("of %d covers %d were overwritten by a request to another object, and %d clients got the foreign cover",
-		asked, overwritten, foreign))
 }
 
-// ask sends a request on a connection of its own.
-func ask(addr, request string) (int, string) {
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		return 0, ""
+// run runs a keyed request. It returns false if the connection was reset under it, as happens to the first attempt of every other one.
+func (p *play) run(c *net.TCPConn, server int, key string) bool {
+	now := time.Now()
+	p.mu.Lock()
+	name := p.podOf[server]
+	shared := p.pods[name]
+	at, seen := shared.seen[key]
+	dropped := seen && now.Sub(at) < window
+	first := len(p.effects[key]) == 0
+	if !first {
+		p.repeats++
+	}
+	if !dropped {
+		shared.seen[key] = now
+		p.effects[key] = append(p.effects[key], effect{now, fmt.Sprintf("s%d", server), name})
 	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
-	_, _ = io.WriteString(c, request)
-	h, body, err := kit2.ReadAnswer(bufio.NewReader(c))
-	if err != nil {
-		return 0, ""
+	number := len(p.effects)
+	p.mu.Unlock()
+	p.record.Add("server  s%d in %s: %s, first=%v, dropped as a repeat=%v", server, name, key, first, dropped)
+	if !first || number%2 != 0 {
+		return true
 	}
-	return h.Status(), string(body)
+	time.Sleep(20 * time.Millisecond)
+	p.record.Add("reset   s%d under %s", server, key)
+	_ = c.SetLinger(0)
+	return false
 }
