--- a/review/kit2/kit2.go
+++ b/review/kit2/kit2.go
@@ -108,6 +108,23 @@
 type Node struct {
 	Addr string
 	Cmd  *exec.Cmd
+	env  []string
+}
+
+// StartAgain starts the `run` line once more with the same configuration and the same $TMPDIR, and with an address for administrators.
+func (n *Node) StartAgain(operator string) *exec.Cmd {
+	cmd := exec.Command("/bin/sh", "-c", os.Getenv("RUN"))
+	cmd.Dir = os.Getenv("ROOT")
+	cmd.Env = append(append([]string{}, n.env...), "ROUTER_OPERATOR="+operator)
+	cmd.Stdout, cmd.Stderr = n.Cmd.Stdout, n.Cmd.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		CannotRun("the node: %v", err)
+	}
+	startedMu.Lock()
+	started = append(started, cmd)
+	startedMu.Unlock()
+	return cmd
 }
 
 // StartNode starts the `run` line of the deploy file and waits until the node takes requests.
@@ -154,7 +171,7 @@
 		if resp, err := http.Get("http://" + addr + "/_health"); err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == 200 {
-				return &Node{Addr: addr, Cmd: cmd}
+				return &Node{Addr: addr, Cmd: cmd, env: cmd.Env}
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
