--- a/review/8/main.go
+++ b/review/8/main.go
@@ -65,21 +65,7 @@
 		addresses = append(addresses, l.Addr().String())
 	}
 	file := filepath.Join(os.Getenv("WORK"), "servers.csv")
-	write := func(pods []string) {
-		var text strings.Builder
-		_, _ = fmt.Fprintln(&text, "id,address,zone,pod,size,phase")
-		for i, a := range addresses {
-			_, _ = fmt.Fprintf(&text, "s%d,%s,a,%s,1,serving\n", i, a, pods[i])
-		}
-		_, _ = fmt.Fprintf(&text, "# end %d\n", len(addresses))
-		if err := os.WriteFile(file+".new", []byte(text.String()), 0o600); err != nil {
-			kit2.CannotRun("%v", err)
-		}
-		if err := os.Rename(file+".new", file); err != nil {
-			kit2.CannotRun("%v", err)
-		}
-	}
-	write(before)
+	write(file, addresses, before)
 	edge := filepath.Join(os.Getenv("WORK"), "edge.toml")
 	text := fmt.Sprintf("[inventory]\ndiscovery = false\n[[inventory.file]]\npath = %q\nname = \"tools\"\ntrailer = true\n", file)
 	if err := os.WriteFile(edge, []byte(text), 0o600); err != nil {
@@ -92,35 +78,54 @@
 	time.Sleep(1500 * time.Millisecond)
 	changed := time.Now()
 	if kit2.Trouble() {
-		write(after)
+		write(file, addresses, after)
 		p.mu.Lock()
 		p.podOf = after
 		changed = time.Now()
 		p.mu.Unlock()
 		record.Add("trouble the inventory file moves s2, s3 and s4 from p1 to p2")
 	}
-	end := changed.Add(playFor)
 	var clients sync.WaitGroup
 	for i := range 16 { // every fourth sends keyed requests
-		clients.Go(func() { p.client(node.Addr, i, i%4 == 0, end) })
+		clients.Go(func() { p.client(node.Addr, i, i%4 == 0, changed.Add(playFor)) })
 	}
 	clients.Wait()
+	p.judge(changed)
+}
+
+// write writes the inventory file with these pods, under another name first.
+func write(file string, addresses, pods []string) {
+	var text strings.Builder
+	_, _ = fmt.Fprintln(&text, "id,address,zone,pod,size,phase")
+	for i, a := range addresses {
+		_, _ = fmt.Fprintf(&text, "s%d,%s,a,%s,1,serving\n", i, a, pods[i])
+	}
+	_, _ = fmt.Fprintf(&text, "# end %d\n", len(addresses))
+	if err := os.WriteFile(file+".new", []byte(text.String()), 0o600); err != nil {
+		kit2.CannotRun("%v", err)
+	}
+	if err := os.Rename(file+".new", file); err != nil {
+		kit2.CannotRun("%v", err)
+	}
+}
+
+// judge counts the keys that had their effect more than once, the first time after the node has had time to read the file.
+func (p *play) judge(changed time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	twice, keys := 0, 0
+	twice := 0
 	for key, list := range p.effects {
-		keys++
 		if len(list) > 1 && list[0].at.After(changed.Add(settled)) {
 			twice++
-			record.Add("broken  %s had its effect at %s (%s), %.1f s after the change, and at %s (%s)", key, list[0].server, list[0].pod,
+			p.record.Add("broken  %s had its effect at %s (%s), %.1f s after the change, and at %s (%s)", key, list[0].server, list[0].pod,
 				list[0].at.Sub(changed).Seconds(), list[1].server, list[1].pod)
 		}
 	}
 	if p.repeats < 10 {
 		kit2.CannotRun("the node has repeated only %d requests", p.repeats)
 	}
-	kit2.Finish(record, twice, fmt.Sprintf("%d of %d keyed requests had their effect twice, in two pods, more than %v after the file had changed (%d were repeated)",
-		twice, keys, settled, p.repeats))
+	kit2.Finish(p.record, twice, fmt.Sprintf("%d of %d keyed requests had their effect twice, in two pods, more than %v after the file had changed (%d were repeated)",
+		twice, len(p.effects), settled, p.repeats))
 }
 
 // client sends keyed requests, or reads.
