CoAP servers get the path and the queries of the client, or nothing

Cause: convertRequest cut the path of fasthttp.URI, which has been decoded and normalised, and read the queries as a form. RFC 7252, 6.4, cuts at the separators first and decodes each part then.

Change: internal/coap/target converts targets and refuses what options cannot express (dot segments, values over 255 bytes, malformed escapes, bytes that are not UTF-8, a fragment). A refused request ends as not sent (coap_servers.outcomes.inexpressible, log coap_request); another attempt may take it to an HTTP server, without one it gets 503.

Evidence: TestCoapServerGetsTargetOfClientOrNothing failed on 11 of 15 targets before, the other four were right and are; TestTargetThatCoapCannotExpressGoesToHTTPServer and TestRequestThatCoapCannotExpressIsNotSent failed before.

--- a/internal/coap/back/attempt.go
+++ b/internal/coap/back/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
@@ -14,8 +15,14 @@
 	"tackhub.example/tackhub/internal/socket"
 )
 
-// outcomeUnsent is the counter key of attempts that were not sent.
-const outcomeUnsent = "unsent"
+// The counter keys of attempts that were not sent.
+const (
+	outcomeUnsent        = "unsent"
+	outcomeInexpressible = "inexpressible" // CoAP cannot express the request
+)
+
+// inexpressibleLogInterval is the shortest time between two log lines about requests that CoAP cannot express.
+const inexpressibleLogInterval = 10 * time.Second
 
 // outcomeKeys maps each outcome to its counter key.
 var outcomeKeys = map[balancer.Outcome]string{
@@ -49,6 +56,11 @@
 		return t.notSent(engine.ErrWithdrawn)
 	}
 	a.address = address
+	request, body, err := convertRequest(a.transmission.Request.Encoded())
+	if err != nil {
+		t.recordInexpressible(err)
+		return engine.Completion{Outcome: balancer.NotSent}
+	}
 	conn, err := t.acquire(strings.TrimPrefix(address, Scheme))
 	if err != nil {
 		outcome := acquireOutcome(err)
@@ -56,11 +68,6 @@
 		return engine.Completion{Outcome: outcome}
 	}
 	defer conn.release()
-	request, body, err := convertRequest(a.transmission.Request.Encoded())
-	if err != nil {
-		t.options.Log.Error("request cannot be converted to CoAP", "code", "coap_request", "error", err)
-		return engine.Completion{Outcome: balancer.NotSent}
-	}
 	response, responseBody, err := conn.sendRequest(ctx, request, body, a)
 	if engine.WasWithheld(err) {
 		return t.notSent(err)
@@ -70,6 +77,22 @@
 	return completion
 }
 
+// recordInexpressible counts a request that cannot be converted to a CoAP message. It logs the first one, and then at most one in
+// inexpressibleLogInterval.
+func (t *Transport) recordInexpressible(reason error) {
+	t.options.Count.Outcomes.Inc(outcomeInexpressible)
+	t.mu.Lock()
+	due := t.inexpressibleLoggedAt.IsZero() || time.Since(t.inexpressibleLoggedAt) >= inexpressibleLogInterval
+	if due {
+		t.inexpressibleLoggedAt = time.Now()
+	}
+	t.mu.Unlock()
+	if due {
+		t.options.Log.Warn("a request cannot be expressed as a CoAP message and was not sent to this server", "code", "coap_request",
+			"error", reason, "requests", t.options.Count.Outcomes.Get(outcomeInexpressible))
+	}
+}
+
 // notSent counts and returns the completion of an attempt that sent nothing because of this node, its list or the client.
 func (t *Transport) notSent(reason error) engine.Completion {
 	t.options.Count.Outcomes.Inc(outcomeUnsent)
--- a/internal/coap/back/request.go
+++ b/internal/coap/back/convertrequest.go
@@ -7,6 +7,8 @@
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 	"github.com/valyala/fasthttp"
+
+	"tackhub.example/tackhub/internal/coap/target"
 )
 
 // The CoAP options that correspond to HTTP header fields. Their numbers are even, which makes the options elective, and
@@ -19,6 +21,17 @@
 	OptLoad           message.OptionID = 65012 // load report of a response, in the format of X-Load
 )
 
+// optionFields are the HTTP header fields of a request that go on as options.
+var optionFields = []struct {
+	name   string
+	option message.OptionID
+}{
+	{"X-Request-Id", OptRequestID},
+	{"X-Deadline-Ms", OptDeadline},
+	{"Idempotency-Key", OptIdempotencyKey},
+	{"X-Class", OptClass},
+}
+
 // maxBody is the largest size of a request or response body, in bytes.
 const maxBody = 64 << 10
 
@@ -27,31 +40,32 @@
 const readerMargin = 16
 
 // convertRequest converts the bytes of an HTTP request to a CoAP message, and returns the body separately. It does not
-// set the message's type, id and token.
+// set the message's type, id and token. A request that CoAP cannot express is refused: the error is one of package target.
 func convertRequest(raw []byte) (message.Message, []byte, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	if err := request.Read(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)+readerMargin)); err != nil {
 		return message.Message{}, nil, err
 	}
+	header := &request.Header
+	options, err := target.Parse(header.RequestURI())
+	if err != nil {
+		return message.Message{}, nil, err
+	}
 	m := message.Message{Code: codes.POST}
-	if request.Header.IsGet() {
+	if header.IsGet() {
 		m.Code = codes.GET
 	}
-	addOption := func(id message.OptionID, value []byte) {
-		if len(value) > 0 {
-			m.Options = m.Options.Add(message.Option{ID: id, Value: bytes.Clone(value)})
-		}
+	for _, segment := range options.Path {
+		m.Options = m.Options.Add(message.Option{ID: message.URIPath, Value: []byte(segment)})
 	}
-	for _, segment := range bytes.Split(bytes.Trim(request.URI().Path(), "/"), []byte("/")) {
-		addOption(message.URIPath, segment)
+	for _, query := range options.Queries {
+		m.Options = m.Options.Add(message.Option{ID: message.URIQuery, Value: []byte(query)})
 	}
-	for name, value := range request.URI().QueryArgs().All() {
-		addOption(message.URIQuery, append(append(bytes.Clone(name), '='), value...))
+	for _, field := range optionFields {
+		if value := header.Peek(field.name); len(value) > 0 {
+			m.Options = m.Options.Add(message.Option{ID: field.option, Value: bytes.Clone(value)})
+		}
 	}
-	addOption(OptRequestID, request.Header.Peek("X-Request-Id"))
-	addOption(OptDeadline, request.Header.Peek("X-Deadline-Ms"))
-	addOption(OptIdempotencyKey, request.Header.Peek("Idempotency-Key"))
-	addOption(OptClass, request.Header.Peek("X-Class"))
 	return m, bytes.Clone(request.Body()), nil
 }
--- a/internal/coap/back/transport.go
+++ b/internal/coap/back/transport.go
@@ -41,6 +41,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*serverConn // by the server's address
+
+	inexpressibleLoggedAt time.Time // of the latest log line about a request that CoAP cannot express
 }
 
 // New returns a transport without sockets.
