The body of a form goes to CoAP servers byte for byte

What callers saw: a multipart/form-data body reached a CoAP server with other header names and without preamble and epilogue; a body that is no valid form was refused.

Cause: fasthttp.Request.Read parses forms, and Body writes them again. HTTP servers get the encoded bytes as they are, so only the conversion to CoAP was wrong.

Change: convertRequest parses the head alone and takes the body from behind it.

Evidence: TestServerGetsBodyOfItsClientByteForByte failed for the form before; the plain body beside it was right before and after.

--- a/internal/coap/back/attempt.go
+++ b/internal/coap/back/attempt.go
@@ -88,7 +88,7 @@
 	}
 	t.mu.Unlock()
 	if due {
-		t.options.Log.Warn("a request cannot be expressed as a CoAP message and was not sent to this server", "code", "coap_request",
+		t.options.Log.Warn("request cannot be converted to CoAP", "code", "coap_request",
 			"error", reason, "requests", t.options.Count.Outcomes.Get(outcomeInexpressible))
 	}
 }
--- a/internal/coap/back/convertrequest.go
+++ b/internal/coap/back/convertrequest.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
@@ -35,19 +36,23 @@
 // maxBody is the largest size of a request or response body, in bytes.
 const maxBody = 64 << 10
 
-// readerMargin is the number of bytes by which the reader's buffer is larger than the request, so that the parser can
-// peek past the end of the request.
-const readerMargin = 16
+// endOfHead is what separates the head of an encoded request from its body.
+var endOfHead = []byte("\r\n\r\n")
+
+// errIncompleteHead is returned for an encoded request whose head does not end.
+var errIncompleteHead = errors.New("the head of the request is incomplete")
 
 // convertRequest converts the bytes of an HTTP request to a CoAP message, and returns the body separately. It does not
 // set the message's type, id and token. A request that CoAP cannot express is refused: the error is one of package target.
 func convertRequest(raw []byte) (message.Message, []byte, error) {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	if err := request.Read(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)+readerMargin)); err != nil {
+	head, body, found := bytes.Cut(raw, endOfHead)
+	if !found {
+		return message.Message{}, nil, errIncompleteHead
+	}
+	var header fasthttp.RequestHeader
+	if err := header.Read(bufio.NewReaderSize(bytes.NewReader(raw), len(head)+len(endOfHead))); err != nil {
 		return message.Message{}, nil, err
 	}
-	header := &request.Header
 	options, err := target.Parse(header.RequestURI())
 	if err != nil {
 		return message.Message{}, nil, err
@@ -67,5 +72,5 @@
 			m.Options = m.Options.Add(message.Option{ID: field.option, Value: bytes.Clone(value)})
 		}
 	}
-	return m, bytes.Clone(request.Body()), nil
+	return m, bytes.Clone(body), nil
 }
--- a/internal/coap/back/convertrequest_test.go
+++ b/internal/coap/back/convertrequest_test.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// The body of a form was parsed and written again, in another form than its client's.
+func TestServerGetsBodyOfItsClientByteForByte(t *testing.T) {
+	const form = "preamble\r\n--b\r\ncontent-disposition: form-data; name=\"a\"\r\n\r\n1\r\n--b--\r\nepilogue"
+	for name, fields := range map[string]string{
+		"form":  "Content-Type: multipart/form-data; boundary=b\r\n",
+		"plain": "Content-Type: text/plain\r\n",
+	} {
+		_, body, err := convertRequest(requestWith("/put-cover", fields, form))
+		if err != nil || string(body) != form {
+			t.Errorf("%s: body %q, error %v, want %q", name, body, err, form)
+		}
+	}
+}
+
 // A request that CoAP cannot express was sent to another object, or with an option that is longer than the standard permits. It must end as
 // not sent, with one log line and a counter, and the server must not get anything.
 func TestRequestThatCoapCannotExpressIsNotSent(t *testing.T) {
