Paths, queries and keys of CoAP devices reach servers unchanged, or are rejected

What devices saw: the query x=a b reached servers as x=a+b; a path with .. reached another class at a server that resolves it; the keys " k" and "k" became one; of two keys the last one won.

Cause: buildURI and escapeQuery encoded for HTML forms, and no option was checked against RFC 7252, 5.10.1 and 6.5.

Change: the target is built by internal/coap/target; options that the standard does not permit, and values that a header field cannot hold, get 4.00 or 4.02 before anything runs.

--- a/internal/coap/front/mapping.go
+++ b/internal/coap/front/mapping.go
@@ -1,8 +1,8 @@
 package front
 
 import (
+	"errors"
 	"fmt"
-	"net/url"
 	"strconv"
 	"strings"
 
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tackhub.example/tackhub/balancer"
+	"tackhub.example/tackhub/internal/coap/target"
 	"tackhub.example/tackhub/internal/coap/wire"
 )
 
@@ -23,6 +24,9 @@
 	queryCostHint = "hint"   // estimated work in microseconds
 )
 
+// deleteCharacter is the control character above the printable ones of ASCII.
+const deleteCharacter = 0x7f
+
 // mappedRequest is the HTTP equivalent of a CoAP request. docs/coap.md describes the mapping.
 type mappedRequest struct {
 	class          balancer.Class
@@ -80,6 +84,10 @@
 		}
 	}
 	path := wire.Strings(m, message.URIPath)
+	queries := wire.Strings(m, message.URIQuery)
+	if rejected := checkOptions(target.Options{Path: path, Queries: queries}); rejected != nil {
+		return mappedRequest{}, rejected
+	}
 	if len(path) == 0 {
 		return mappedRequest{}, reject(codes.NotFound, "no path")
 	}
@@ -92,19 +100,33 @@
 		return mappedRequest{}, reject(codes.MethodNotAllowed, "%v on %s", m.Code, class.Name)
 	}
 	mapped := mappedRequest{class: class, method: method, deadline: defaultDeadline(class)}
-	forwarded := mapped.parseQueries(wire.Strings(m, message.URIQuery))
-	mapped.uri = buildURI(path, forwarded)
+	forwarded, rejected := mapped.parseQueries(queries)
+	if rejected != nil {
+		return mappedRequest{}, rejected
+	}
+	mapped.uri = target.Options{Path: path, Queries: forwarded}.String()
 	switch {
 	case class.Idempotency == balancer.IdempotentWithKey && mapped.idempotencyKey == "":
 		return mappedRequest{}, reject(codes.BadRequest, "no key")
 	case mapped.deadline == "":
 		return mappedRequest{}, reject(codes.BadRequest, "no wait")
-	case strings.ContainsAny(mapped.idempotencyKey+mapped.tenant+mapped.deadline+mapped.costHint, "\r\n\x00"):
-		return mappedRequest{}, reject(codes.BadRequest, "control characters")
 	}
 	return mapped, nil
 }
 
+// checkOptions returns the reason for rejecting a message whose path or queries the standard does not permit. An option of a wrong length
+// counts as one that is not supported (RFC 7252, 5.4.3).
+func checkOptions(o target.Options) *rejection {
+	err := o.Check()
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, target.ErrOptionLength):
+		return reject(codes.BadOption, "%v", err)
+	}
+	return reject(codes.BadRequest, "%v", err)
+}
+
 // mapMethod returns the HTTP method of a request to a class; false if the class does not accept the CoAP method.
 func mapMethod(code codes.Code, class balancer.Class) (string, bool) {
 	if class.Idempotency == balancer.Idempotent {
@@ -122,47 +144,49 @@
 	return strconv.FormatInt(max(1, int64(class.TotalTimeout)), 10)
 }
 
-// parseQueries stores the values of the queries that the node reads, and returns all others in escaped form.
-func (m *mappedRequest) parseQueries(queries []string) (forwarded []string) {
+// parseQueries stores the values of the queries that the node reads, and returns all others. Each that the node reads may occur once, and
+// its value must be one that a header field can hold unchanged.
+func (m *mappedRequest) parseQueries(queries []string) (forwarded []string, rejected *rejection) {
+	seen := map[string]bool{}
 	for _, query := range queries {
-		name, value, hasValue := strings.Cut(query, "=")
-		switch name {
-		case queryKey:
-			m.idempotencyKey = value
-		case queryTenant:
-			m.tenant = value
-		case queryDeadline:
-			m.deadline = value
-		case queryCostHint:
-			m.costHint = value
-		case queryRetry:
-			m.retry = value == "1"
-		default:
-			forwarded = append(forwarded, escapeQuery(name, value, hasValue))
+		name, value, _ := strings.Cut(query, "=")
+		store := m.queryField(name)
+		switch {
+		case store == nil:
+			forwarded = append(forwarded, query)
+			continue
+		case seen[name]:
+			return nil, reject(codes.BadRequest, "query %s occurs twice", name)
+		case !isFieldValue(value):
+			return nil, reject(codes.BadRequest, "query %s begins or ends with a space or has control characters", name)
 		}
+		seen[name] = true
+		store(value)
 	}
-	return forwarded
+	return forwarded, nil
 }
 
-// escapeQuery escapes a query for use in a URI.
-func escapeQuery(name, value string, hasValue bool) string {
-	if !hasValue {
-		return url.QueryEscape(name)
+// queryField returns a function that stores the value of a query that the node reads; nil for any other query.
+func (m *mappedRequest) queryField(name string) func(value string) {
+	switch name {
+	case queryKey:
+		return func(value string) { m.idempotencyKey = value }
+	case queryTenant:
+		return func(value string) { m.tenant = value }
+	case queryDeadline:
+		return func(value string) { m.deadline = value }
+	case queryCostHint:
+		return func(value string) { m.costHint = value }
+	case queryRetry:
+		return func(value string) { m.retry = value == "1" }
 	}
-	return url.QueryEscape(name) + "=" + url.QueryEscape(value)
+	return nil
 }
 
-// buildURI builds a URI from the unescaped segments of a path and from escaped queries.
-func buildURI(path, queries []string) string {
-	segments := make([]string, len(path))
-	for i, segment := range path {
-		segments[i] = url.PathEscape(segment)
-	}
-	uri := "/" + strings.Join(segments, "/")
-	if len(queries) > 0 {
-		uri += "?" + strings.Join(queries, "&")
-	}
-	return uri
+// isFieldValue reports whether a header field can hold a value unchanged (RFC 9110, 5.5).
+func isFieldValue(value string) bool {
+	isControl := func(r rune) bool { return r < ' ' && r != '\t' || r == deleteCharacter }
+	return strings.Trim(value, " \t") == value && !strings.ContainsFunc(value, isControl)
 }
 
 // responseCode returns the CoAP code that corresponds to the HTTP status of a response.
