A response in blocks is of one version of the resource

Cause: fetchBody did not compare the ETags of the blocks (RFC 7959, 2.4).

Change: Download.CheckVersion. A GET whose blocks differ is fetched anew from its first block, three times at most; any other request ends as broken, since it has run. tackhub coap ends with an error.

Servers whose tag stays or that give none get the same messages as before.

--- a/internal/coap/back/exchange.go
+++ b/internal/coap/back/exchange.go
@@ -27,6 +27,10 @@
 	// maxRetransmit is the maximum number of retransmissions of a message: MAX_RETRANSMIT.
 	maxRetransmit = 4
 
+	// maxDownloadRestarts is how often the blocks of a response are fetched anew because the resource has changed. The attempt's time ends
+	// a download earlier if the resource keeps changing.
+	maxDownloadRestarts = 3
+
 	// arrivalBuffer is the maximum number of unread arrivals of an exchange: an acknowledgement, the response, and one
 	// repetition of each.
 	arrivalBuffer = 4
@@ -104,37 +108,64 @@
 }
 
 // fetchBody fetches the blocks of a response that follow its first block. It returns an error if the blocks do not
-// form a complete body.
+// form a complete body. If the resource changes meanwhile, a GET is fetched anew from its first block (RFC 7959, 2.4).
 func (c *serverConn) fetchBody(ctx context.Context, request, firstResponse message.Message) (message.Message, []byte, error) {
+	for restarts := 0; ; restarts++ {
+		body, err := c.fetchVersion(ctx, request, firstResponse)
+		mayRestart := request.Code == codes.GET && restarts < maxDownloadRestarts
+		if !errors.Is(err, blocks.ErrVersionChanged) || !mayRestart {
+			return firstResponse, body, err
+		}
+		firstBlock := blocks.Block{SZX: blocks.MaxSZX}
+		response, err := c.fetchBlock(ctx, request, firstBlock)
+		if err != nil {
+			return firstResponse, nil, err
+		}
+		firstResponse = response
+	}
+}
+
+// fetchVersion fetches the blocks that follow the first block of a response, all of one version of the resource.
+func (c *serverConn) fetchVersion(ctx context.Context, request, firstResponse message.Message) ([]byte, error) {
 	download := blocks.Download{Limit: maxBody}
 	response := firstResponse
 	for {
 		block, present, err := wire.Block(&response, message.Block2)
 		if err != nil {
-			return firstResponse, nil, err
+			return nil, err
+		}
+		etag, _ := wire.Bytes(&response, message.ETag)
+		if err := download.CheckVersion(etag); err != nil {
+			return nil, err
 		}
 		if err := download.Add(block, present, response.Payload); err != nil {
-			return firstResponse, nil, err
+			return nil, err
 		}
 		next, more := download.Next()
 		if !more {
-			return firstResponse, download.Body(), nil
-		}
-		blockRequest := outgoingMessage{Message: request}
-		blockRequest.Options = withBlock(request.Options, message.Block2, next)
-		response, err = c.exchange(ctx, blockRequest)
-		if errors.Is(err, errRejected) { // the server no longer has the response, but it has run the request
-			err = errReset
+			return download.Body(), nil
 		}
+		response, err = c.fetchBlock(ctx, request, next)
 		if err != nil {
-			return firstResponse, nil, err
+			return nil, err
 		}
 		if response.Code != firstResponse.Code {
-			return firstResponse, nil, errCodeMismatch
+			return nil, errCodeMismatch
 		}
 	}
 }
 
+// fetchBlock requests a block of the response to a request that has run.
+func (c *serverConn) fetchBlock(ctx context.Context, request message.Message, block blocks.Block) (message.Message, error) {
+	blockRequest := outgoingMessage{Message: request}
+	blockRequest.Options = withBlock(request.Options, message.Block2, block)
+	response, err := c.exchange(ctx, blockRequest)
+	if errors.Is(err, errRejected) { // the server no longer has the response, but it has run the request
+		err = errReset
+	}
+	return response, err
+}
+
 // withBlock returns the options with a block option added. The passed options are not modified.
 func withBlock(options message.Options, id message.OptionID, block blocks.Block) message.Options {
 	return wire.AddUint(options[:len(options):len(options)], id, block.Value())
--- a/internal/coap/client/client.go
+++ b/internal/coap/client/client.go
@@ -105,6 +105,10 @@
 		if err != nil {
 			return response, err
 		}
+		etag, _ := wire.Bytes(m, message.ETag)
+		if err := download.CheckVersion(etag); err != nil {
+			return response, err
+		}
 		if err := download.Add(block, present, m.Payload); err != nil {
 			return response, err
 		}
