An upload of which a CoAP server took a part alone is not served

Cause: sendBody took each response that is no Continue as that to the whole request, and complete each code of class 2 as served.

Change: such an attempt ends as broken; a part may have been enacted (RFC 7959, 2.3).

Evidence: TestUploadOfWhichAPartWasTakenIsNotServed (3 of 6 cases) and TestContinueIsNoResponseToAShortRequest failed before; whole uploads, 4.13 and 5.03 at the first block passed before and after.

--- a/internal/coap/back/attempt.go
+++ b/internal/coap/back/attempt.go
@@ -131,6 +131,8 @@
 // failureOutcome returns the outcome of an attempt without a usable response.
 func failureOutcome(err error, written bool) balancer.Outcome {
 	switch {
+	case errors.Is(err, errPartialUpload): // also if the last block was not written
+		return balancer.ConnectionLost
 	case errors.Is(err, errRejected), !written: // rejected, or never sent completely: the request has not run
 		return balancer.Unreachable
 	case errors.Is(err, errNoResponse):
--- a/internal/coap/back/blockwise_test.go
+++ b/internal/coap/back/blockwise_test.go
@@ -100,3 +100,44 @@
 		t.Errorf("outcome %s after %d messages, want broken after 2", engine.OutcomeName(got.Outcome), distinctMessages(server))
 	}
 }
+
+// A server enacted the first block of an upload alone (2.04 with the M bit unset, RFC 7959, 2.3), or answered its last block as one of
+// several, and the client got 200. The server has not taken the upload, but may have run a part of it: the request must neither be served
+// nor count as one that cannot have run. A server that answers the whole upload is served as before.
+func TestUploadOfWhichAPartWasTakenIsNotServed(t *testing.T) {
+	body := string(bytes.Repeat([]byte("cover"), 500))
+	for name, c := range map[string]struct {
+		firstCode, lastCode codes.Code
+		want                balancer.Outcome
+		messages            int
+	}{
+		"first block enacted alone":  {codes.Changed, codes.Changed, balancer.ConnectionLost, 1},
+		"first block created alone":  {codes.Created, codes.Changed, balancer.ConnectionLost, 1},
+		"last block not the last":    {codes.Continue, codes.Continue, balancer.ConnectionLost, 3},
+		"whole":                      {codes.Continue, codes.Changed, balancer.OK, 3},
+		"refused at the first block": {codes.ServiceUnavailable, codes.Changed, balancer.Overloaded, 1},
+		"error at the first block":   {codes.RequestEntityTooLarge, codes.Changed, balancer.Errored, 1},
+	} {
+		server := startServer(t, func(m message.Message) []message.Message {
+			block, _, _ := wire.Block(&m, message.Block1)
+			if !block.More {
+				return ackWith(m, c.lastCode, nil, wire.AddUint(nil, message.Block1, block.Value()))
+			}
+			block.More = c.firstCode == codes.Continue
+			return ackWith(m, c.firstCode, nil, wire.AddUint(nil, message.Block1, block.Value()))
+		})
+		got := sendTo(t, server, requestWith("/put-cover", "", body))
+		if got.Outcome != c.want || distinctMessages(server) != c.messages {
+			t.Errorf("%s: outcome %s after %d messages, want %s after %d", name, engine.OutcomeName(got.Outcome), distinctMessages(server),
+				engine.OutcomeName(c.want), c.messages)
+		}
+	}
+}
+
+// A short request, whose body is not sent in blocks, was served with the Continue of a server that expects more.
+func TestContinueIsNoResponseToAShortRequest(t *testing.T) {
+	server := startServer(t, func(m message.Message) []message.Message { return ackWith(m, codes.Continue, nil, nil) })
+	if got := sendTo(t, server, requestWith("/put-cover", "", "ok")); got.Outcome != balancer.ConnectionLost {
+		t.Errorf("outcome %s, want broken", engine.OutcomeName(got.Outcome))
+	}
+}
--- a/internal/coap/back/exchange.go
+++ b/internal/coap/back/exchange.go
@@ -42,8 +42,10 @@
 	errReset        = errors.New("the server reset the exchange")                   // the request may have run
 	errPortClosed   = errors.New("no process listens on the address")               // the request may have run
 	errCodeMismatch = errors.New("the blocks of the response have different codes") // the request has run
-	errPanic        = errors.New("a panic ended the attempt")                       // the request may have run if it was written
-	errNoResponse   = errors.New("no response before the attempt was cancelled")    // the request may have run
+	// The server has enacted a part of the request alone (RFC 7959, 2.3), or expects more than the whole. The request may have run.
+	errPartialUpload = errors.New("the server has not taken the whole body of the request")
+	errPanic         = errors.New("a panic ended the attempt")                    // the request may have run if it was written
+	errNoResponse    = errors.New("no response before the attempt was cancelled") // the request may have run
 )
 
 // outgoingMessage is a message of a request before it has an id and a token.
@@ -84,7 +86,7 @@
 }
 
 // sendBody sends a request with its body. It returns the response to the last block, or to the first block that the
-// server did not accept.
+// server did not accept. A success of a part of the body, and a Continue after the whole of it, is errPartialUpload.
 func (c *serverConn) sendBody(ctx context.Context, request message.Message, body []byte, a *attempt) (message.Message, error) {
 	blockSize := blocks.Block{SZX: blocks.MaxSZX}.Size()
 	for number := uint32(0); ; number++ {
@@ -100,8 +102,13 @@
 		}
 		started := time.Now()
 		response, err := c.exchange(ctx, blockRequest)
-		if err != nil || response.Code != codes.Continue || !block.More {
+		switch {
+		case err != nil:
 			return response, err
+		case wire.Class(response.Code) == wire.ClassSuccess && block.More != (response.Code == codes.Continue):
+			return response, errPartialUpload
+		case response.Code != codes.Continue:
+			return response, nil
 		}
 		c.recordRoundTrip(time.Since(started)) // a server sends a Continue without processing the request
 	}
