A path that dot segments lead out of its class is rejected

What callers saw: /get-cover/%2e%2e/b reached another class at a CoAP server, answered 200; an HTTP server that resolves .. does the same by itself. The node judged by get-cover whether a repeat may harm.

Cause: validate compared the class with the first segment as it is written. PROTOCOL: "The class stands in X-Class and is the first part of the path"; the path goes on unchanged, so the node can't resolve it and rejects it as one of another class (400, class_and_path_differ).

Change: the first segment must be the class in every reading that servers use of escapes, empty segments and dot segments. Also target uses net/url for percent-decoding.

--- a/cmd/tackhub/badrequest_test.go
+++ b/cmd/tackhub/badrequest_test.go
@@ -65,6 +65,8 @@
 		{"no class", replaceOnce(good, "X-Class: look\r\n", ""), 400, "unknown_class"},
 		{"class and path differ", replaceOnce(good, "GET /look", "GET /bill"), 400, "class_and_path_differ"},
 		{"class is a prefix of the path segment", replaceOnce(good, "GET /look", "GET /looking"), 400, "class_and_path_differ"},
+		{"path that leaves the class", replaceOnce(good, "GET /look", "GET /look/../bill"), 400, "class_and_path_differ"},
+		{"path that leaves the class, encoded", replaceOnce(good, "GET /look", "GET /look/%2e%2E/bill"), 400, "class_and_path_differ"},
 		{"wrong method", replaceOnce(good, "GET", "PUT"), 405, "wrong_method"},
 		{"safe class with POST", replaceOnce(good, "GET", "POST"), 405, "wrong_method"},
 		{"guarded class without Idempotency-Key", replaceOnce(request("store", 1000), "Idempotency-Key: 5c0f6e1a2b3d4c59\r\n", ""), 400, "no_key"},
--- a/internal/coap/target/target.go
+++ b/internal/coap/target/target.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/url"
 	"strings"
 	"unicode/utf8"
 )
@@ -102,56 +103,19 @@
 	return out.String()
 }
 
-// decodeParts cuts a text at its separators and decodes each part.
+// decodeParts cuts a text at its separators and decodes each part. Its only possible error is ErrEscape.
 func decodeParts(text, separator string) ([]string, error) {
 	parts := strings.Split(text, separator)
 	for i, part := range parts {
-		decoded, err := Decode(part)
+		decoded, err := url.PathUnescape(part) // a plus sign stays one
 		if err != nil {
-			return nil, err
+			return nil, ErrEscape
 		}
 		parts[i] = decoded
 	}
 	return parts, nil
 }
 
-// Decode replaces each percent-encoded byte of a text (RFC 3986, 2.1). A plus sign stays one. The error is ErrEscape.
-func Decode(text string) (string, error) {
-	if strings.IndexByte(text, '%') < 0 {
-		return text, nil
-	}
-	decoded := make([]byte, 0, len(text))
-	for i := 0; i < len(text); i++ {
-		if text[i] != '%' {
-			decoded = append(decoded, text[i])
-			continue
-		}
-		if i+2 >= len(text) {
-			return "", ErrEscape
-		}
-		high, low := hexDigit(text[i+1]), hexDigit(text[i+2])
-		if high < 0 || low < 0 {
-			return "", ErrEscape
-		}
-		decoded = append(decoded, byte(high<<4|low))
-		i += 2
-	}
-	return string(decoded), nil
-}
-
-// hexDigit returns the value of a hexadecimal digit, or -1.
-func hexDigit(b byte) int {
-	switch {
-	case '0' <= b && b <= '9':
-		return int(b - '0')
-	case 'a' <= b && b <= 'f':
-		return int(b-'a') + 10
-	case 'A' <= b && b <= 'F':
-		return int(b-'A') + 10
-	}
-	return -1
-}
-
 // appendEncoded appends a value with every byte percent-encoded that is not plain.
 func appendEncoded(out *strings.Builder, value string, plain func(byte) bool) {
 	const digits = "0123456789ABCDEF"
--- a/internal/coap/target/target_test.go
+++ b/internal/coap/target/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/url"
 	"slices"
 	"strings"
 	"testing"
@@ -99,7 +100,7 @@
 			if i > 0 {
 				out.WriteString(separator)
 			}
-			decoded, _ := Decode(value)
+			decoded, _ := url.PathUnescape(value)
 			appendEncoded(&out, decoded, func(byte) bool { return false })
 		}
 		return out.String()
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -58,6 +58,8 @@
 		return &Rejection{fasthttp.StatusBadRequest, "unknown_class"}
 	case firstSegment(in.uri) != in.class:
 		return &Rejection{fasthttp.StatusBadRequest, "class_and_path_differ"}
+	case !pathStaysInClass(in.uri, in.class):
+		return &Rejection{fasthttp.StatusBadRequest, "class_and_path_differ"}
 	case in.method != methodOf(class):
 		return &Rejection{fasthttp.StatusMethodNotAllowed, "wrong_method"}
 	case class.Idempotency == balancer.IdempotentWithKey && in.idempotencyKey == "":
