A repeat goes only to servers that remembered its key all the time

Cause: a repeat was bound to the cell of the first server as it is now. A server that had joined the cell since, or had left it and come back, counted as one that knows the key. A server that changed its cell also lost its records.

An attempt records its group when it is sent; a repeat goes to servers that have been in that group since before that attempt. A change of the cell alone keeps the records of the server. A restart in the same cell changes nothing, as before.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -10,7 +10,8 @@
 type StartAttempt struct {
 	ID       RequestID
 	Server   ServerID
-	Deadline Millis // when the attempt times out; 0: only when the client gives up
+	Group    DedupGroup // remembers the request's key. If the server has left it, nothing must be sent
+	Deadline Millis     // when the attempt times out; 0: only when the client gives up
 	// WriteDeadline is the end of the dedup window, after which servers no longer drop repeats. The last
 	// byte of the request must be written before it. 0: no limit.
 	WriteDeadline Millis
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -9,6 +9,7 @@
 	}
 	r.attempts = append(r.attempts, attempt{
 		server:           s,
+		group:            s.dedupGroup(r.class),
 		sentAt:           b.attemptStart(r),
 		serviceRounds:    max(1, b.serviceRounds(b.estimatedRequests(s), r.work)),
 		expectedDuration: b.expectedTime(s, r),
@@ -21,7 +22,13 @@
 	s.idleConnections = max(0, s.idleConnections-1)
 	s.estimate.computedAt = estimateOutdated
 	b.openAttempts++
-	b.emit(StartAttempt{ID: r.id, Server: s.ID, Deadline: r.deadline, WriteDeadline: r.dedupUntil})
+	b.emit(StartAttempt{
+		ID:            r.id,
+		Server:        s.ID,
+		Group:         s.dedupGroup(r.class),
+		Deadline:      r.deadline,
+		WriteDeadline: r.dedup.until,
+	})
 	b.scheduleSweep()
 }
 
--- a/balancer/clone.go
+++ b/balancer/clone.go
@@ -76,7 +76,7 @@
 		c.addServer(s)
 	}
 	for _, r := range c.from.requests {
-		for _, s := range []*server{r.dedupServer, r.affinity.primary, r.affinity.secondary} {
+		for _, s := range []*server{r.affinity.primary, r.affinity.secondary} {
 			c.addServer(s)
 		}
 		for i := range r.attempts {
@@ -132,7 +132,6 @@
 	if r.tenant != nil {
 		n.tenant = c.to.tenants[r.tenant.Name]
 	}
-	n.dedupServer = c.servers[r.dedupServer]
 	n.affinity.primary = c.servers[r.affinity.primary]
 	n.affinity.secondary = c.servers[r.affinity.secondary]
 	n.attempts = slices.Clone(r.attempts)
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -14,6 +14,7 @@
 //	actions.go         output of the balancer, and the reasons for rejecting or failing a request
 //
 //	endpointlist.go    endpoint list: polling, backoff, staleness, new and removed servers
+//	dedupgroup.go      which servers remember the key of a request, and so may get its repeats
 //	server.go          state of one server
 //	outcomewindow.go   outcomes at a server in the last ten seconds
 //	healthscore.go     scores from latency, errors and recent outcomes
--- a/balancer/endpointlist.go
+++ b/balancer/endpointlist.go
@@ -131,19 +131,19 @@
 	}
 }
 
-// addEndpoint adds or updates one server. A server that has restarted, or moved to another zone or cell,
-// starts without its previous state.
+// addEndpoint adds or updates one server. A server that has restarted, or moved to another zone, starts
+// without its previous state. One that has moved to another cell of its zone keeps it.
 func (b *Balancer) addEndpoint(entry Endpoint, noChangeMissed bool) {
 	s := b.servers.byID[entry.ID]
 	if s != nil && (entry.State != Ready || sameProcess(s.Endpoint, entry)) {
-		// Zone and cell are not updated: the entry of a removed server may lack them, and they define the
-		// dedup scope of requests that ran there.
-		s.State = entry.State
-		s.Capacity = entry.Capacity
+		b.updateEndpoint(s, entry)
 		return
 	}
 	fresh := b.newServer(entry, noChangeMissed)
 	b.servers.byID[entry.ID] = fresh
+	if s != nil && s.State != Removed {
+		fresh.inheritMembership(s)
+	}
 	if s == nil {
 		b.servers.known = append(b.servers.known, fresh)
 		return
@@ -151,14 +151,25 @@
 	b.servers.known[slices.Index(b.servers.known, s)] = fresh
 }
 
-// sameProcess reports whether two entries of one server describe the same process in the same zone and
-// cell.
-func sameProcess(a, b Endpoint) bool {
-	return a.Started == b.Started && a.Zone == b.Zone && a.Cell == b.Cell
+// sameProcess reports whether two entries of one server describe the same process in the same zone.
+func sameProcess(a, b Endpoint) bool { return a.Started == b.Started && a.Zone == b.Zone }
+
+// updateEndpoint updates a server whose process is the same. Its cell is updated only if it is ready:
+// the entry of a removed server may lack it.
+func (b *Balancer) updateEndpoint(s *server, entry Endpoint) {
+	if entry.State == Ready {
+		if s.State == Removed { // it was in no group meanwhile
+			s.membership = groupMembership{zoneSince: b.now, cellSince: b.now}
+		}
+		s.changeCell(entry.Cell, b.now)
+	}
+	s.State = entry.State
+	s.Capacity = entry.Capacity
 }
 
 func (b *Balancer) newServer(entry Endpoint, noChangeMissed bool) *server {
 	s := &server{Endpoint: entry, zoneFailures: b.zoneRecord(entry.Zone)}
+	s.membership = groupMembership{zoneSince: b.now, cellSince: b.now}
 	s.slowStart.since = b.slowStartBegin(entry.Started, noChangeMissed)
 	// Each node starts with a random fraction of a token, so that the nodes do not all send their first
 	// request to the server at the same time.
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -55,7 +55,7 @@
 
 // eligible reports whether a request is permitted to go to a server. Invariants: a draining server
 // gets no new attempts; a request that may have run is repeated only if it is idempotent or, with an
-// idempotency key, at a server in its dedup scope and until its dedup window ends.
+// idempotency key, at a server that remembers the key and until its dedup window ends.
 func (b *Balancer) eligible(r *request, s *server) bool {
 	if s.State != Ready {
 		return false
@@ -63,16 +63,7 @@
 	if !r.mayHaveRun || r.class.Idempotency == Idempotent {
 		return true
 	}
-	if !r.class.repeatable() || b.now >= r.dedupUntil {
-		return false
-	}
-	switch r.class.DedupScope {
-	case DedupWithinZone:
-		return s.Zone == r.dedupServer.Zone
-	case DedupWithinCell:
-		return s.Cell == r.dedupServer.Cell
-	}
-	return true
+	return r.class.repeatable() && b.now < r.dedup.until && r.dedup.remembers(s)
 }
 
 // candidates returns the servers that a request may be sent to: those that are eligible, have enough
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -114,7 +114,7 @@
 		set := settings()
 		set.Classes[1].DedupScope = scope
 		b := newTestNode(t, set, servers...)
-		r := &request{class: b.balancer.classes["put"], work: 1, mayHaveRun: true, dedupServer: b.balancer.servers.byID["s0"], dedupUntil: b.now + 500}
+		r := &request{class: b.balancer.classes["put"], work: 1, mayHaveRun: true, dedup: dedupBinding{bound: true, group: b.balancer.servers.byID["s0"].dedupGroup(b.balancer.classes["put"]), sentAt: b.now, until: b.now + 500}}
 		got := 0
 		for _, s := range b.balancer.servers.ready {
 			if b.balancer.eligible(r, s) {
--- a/balancer/queue_test.go
+++ b/balancer/queue_test.go
@@ -17,7 +17,7 @@
 		b.balancer.retryBudget.available = retryBurst
 		b.lastRequestID++
 		r := &request{id: b.lastRequestID, class: b.balancer.classes["put"], arrived: b.now, deadline: b.now + 2000,
-			objectiveAt: b.now + 400, work: 1, mayHaveRun: true, dedupServer: b.balancer.servers.byID["s0"], dedupUntil: b.now + 1000}
+			objectiveAt: b.now + 400, work: 1, mayHaveRun: true, dedup: dedupBinding{bound: true, group: DedupGroup{Scope: DedupWithinCell, Cell: b.balancer.servers.byID["s0"].Cell}, sentAt: b.now, until: b.now + 1000}}
 		b.balancer.requests[r.id] = r
 		b.balancer.enqueue(r)
 		b.balancer.servers.byID["s0"].outlier.ejected = true
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -26,8 +26,7 @@
 	priority    float64 // marginalValue at the last dispatch of the queue
 	probesUntil Millis  // until then the request waits for the results of load probes
 
-	dedupServer *server // server of the first attempt that may have run
-	dedupUntil  Millis  // until then servers in dedupServer's dedup scope drop repeats
+	dedup dedupBinding
 
 	affinityKey uint64 // hash of the idempotency key; 0: no key affinity
 	affinity    affinityPair
@@ -49,9 +48,10 @@
 // attempt is one attempt of a request.
 type attempt struct {
 	server           *server
-	sentAt           Millis  // +Inf while the request's body is incomplete
-	serviceRounds    float64 // expected duration at the time of sending, in unit times
-	expectedDuration Millis  // expected duration at the time of sending
+	group            DedupGroup // of the server when the attempt was sent
+	sentAt           Millis     // +Inf while the request's body is incomplete
+	serviceRounds    float64    // expected duration at the time of sending, in unit times
+	expectedDuration Millis     // expected duration at the time of sending
 	open             bool
 	missing          bool   // absent from the server's latest load report
 	missingAfter     Millis // time from sending to the first load report that omits the attempt; 0: none
@@ -88,16 +88,15 @@
 }
 
 // markMayHaveRun records that an attempt may have run. If the request has an idempotency key, the earliest
-// such attempt restricts further attempts to the dedup scope of its server and to its dedup window.
+// such attempt restricts further attempts to its dedup group and to its dedup window.
 func (r *request) markMayHaveRun(a *attempt) {
 	r.mayHaveRun = true
 	if r.class.Idempotency != IdempotentWithKey {
 		return
 	}
 	windowEnd := a.sentAt + r.class.DedupWindow
-	if r.dedupServer == nil || windowEnd < r.dedupUntil {
-		r.dedupServer = a.server
-		r.dedupUntil = windowEnd
+	if !r.dedup.bound || windowEnd < r.dedup.until {
+		r.dedup = dedupBinding{bound: true, group: a.group, sentAt: a.sentAt, until: windowEnd}
 	}
 }
 
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -14,6 +14,7 @@
 	outcomes outcomeWindow
 	outlier  ejectionState
 
+	membership    groupMembership
 	slowStart     slowStartState
 	classFailures []failureRate // by class index
 	zoneFailures  *failureRate  // shared by all servers of the zone
