A server that a file moves to another pod is in the new pod at once

Cause: a server stood on in its former pod while it waited for its turn to move; repeats were sent to it and from it.

Change: the queue and the hold are gone; each server has its new group with the push and stays in service.

--- /dev/null
+++ b/internal/endpointmerge/dedupgroup.go
@@ -0,0 +1,64 @@
+package endpointmerge
+
+// dedupGroup identifies the servers that together drop repeats of a request with an idempotency key: those of a pod in its zone, since pods
+// of the same name in different zones are different groups. A server of which it is not known who drops its repeats is a group by itself.
+type dedupGroup struct {
+	zone       string
+	pod        string
+	onlyServer string // id of the only member; "" for the group of a pod
+}
+
+// firstAssignedCell is the first number that is assigned to a group.
+const firstAssignedCell = 1
+
+// prunedGroups is the number of unused groups from which on they are removed.
+const prunedGroups = 64
+
+// DedupGroups assigns cells, the numbers that the balancer compares, to groups.
+type DedupGroups struct {
+	cellByGroup map[dedupGroup]int
+	groupByCell map[int]dedupGroup
+	nextCell    int
+}
+
+// NewDedupGroups returns an assignment without groups.
+func NewDedupGroups() *DedupGroups {
+	return &DedupGroups{cellByGroup: map[dedupGroup]int{}, groupByCell: map[int]dedupGroup{}, nextCell: firstAssignedCell}
+}
+
+// cell returns the cell of a group, and assigns one if the group has none. A cell is never assigned twice.
+func (g *DedupGroups) cell(group dedupGroup) int {
+	if cell, assigned := g.cellByGroup[group]; assigned {
+		return cell
+	}
+	cell := g.nextCell
+	g.nextCell++
+	g.cellByGroup[group] = cell
+	g.groupByCell[cell] = group
+	return cell
+}
+
+// prune removes the groups that no member uses, once there are many of them.
+func (g *DedupGroups) prune(members map[string]*member) {
+	if len(g.cellByGroup) <= len(members)+prunedGroups {
+		return
+	}
+	used := map[int]bool{}
+	for _, m := range members {
+		used[m.cell] = true
+	}
+	for cell, group := range g.groupByCell {
+		if !used[cell] {
+			delete(g.groupByCell, cell)
+			delete(g.cellByGroup, group)
+		}
+	}
+}
+
+// groupOf returns the group of a member.
+func (v *View) groupOf(m *member) dedupGroup {
+	if m.Pod == "" {
+		return dedupGroup{onlyServer: m.ID}
+	}
+	return dedupGroup{zone: m.Zone, pod: m.Pod}
+}
--- a/internal/endpointmerge/event.go
+++ b/internal/endpointmerge/event.go
@@ -42,12 +42,11 @@
 
 // Outcome is the result of an event.
 type Outcome struct {
-	Changes      []Entry    // to the published list, sorted by id
-	Held         []HeldList // lists that are newly held
-	Released     []string   // sources whose held list was accepted or replaced
-	Conflicts    []Conflict // new or changed conflicts
-	MovesStarted int        // number of servers that started a move to another dedup scope
-	NextTick     Millis     // time at which the next Tick is due; 0: none
+	Changes   []Entry    // to the published list, sorted by id
+	Held      []HeldList // lists that are newly held
+	Released  []string   // sources whose held list was accepted or replaced
+	Conflicts []Conflict // new or changed conflicts
+	Moved     int        // number of servers that changed to another dedup group
 }
 
 // Entry is a server of the published list.
@@ -55,7 +54,7 @@
 	ID       string
 	Address  string
 	Zone     string
-	Cell     int // number of the pod; a pod keeps its number for the lifetime of the view
+	Cell     int // of the server's dedup group, by DedupGroups
 	Size     float64
 	Draining bool // must not get new requests
 	Removed  bool
@@ -66,7 +65,7 @@
 type Member struct {
 	inventory.Server
 	FieldSources map[string]string `json:"from"`             // by field: the source of its value
-	MovingTo     string            `json:"moving,omitempty"` // new zone/pod while it moves; Zone and Pod are still the old ones
+	MovingTo     string            `json:"moving,omitempty"` // in states that earlier versions saved: zone/pod to which it was moving
 }
 
 // Conflict is a field of a server for which two sources state different values.
--- a/internal/endpointmerge/merge.go
+++ b/internal/endpointmerge/merge.go
@@ -8,11 +8,10 @@
 	"tackhub.example/tackhub/internal/inventory"
 )
 
-// member is a Member with its pod number and its move to another dedup scope.
+// member is a Member with the cell of its dedup group.
 type member struct {
 	Member
-	cell int // number of the dedup group
-	move move
+	cell int
 }
 
 // merge recomputes the members that an event may have changed, and those that claim the same addresses.
@@ -39,7 +38,7 @@
 		if c != nil && v.addressOwner(c.Address, candidates) != id {
 			c = nil
 		}
-		v.applyCandidate(id, c)
+		v.applyCandidate(id, c, out)
 	}
 }
 
@@ -169,7 +168,7 @@
 }
 
 // applyCandidate adds or updates a member from its candidate, or removes the member if the candidate is nil.
-func (v *View) applyCandidate(id string, c *member) {
+func (v *View) applyCandidate(id string, c *member, out *Outcome) {
 	before := v.members[id]
 	v.dirtyIDs[id] = true
 	switch {
@@ -179,22 +178,15 @@
 	case before == nil:
 		v.addMember(c)
 	default:
-		v.updateMember(c, before)
+		v.updateMember(c, before, out)
 	}
 }
 
-func (v *View) removeMember(m *member) {
-	if m.move.started() {
-		v.movingCount--
-	}
-	v.pods.forget(m.cell)
-	delete(v.members, m.ID)
-	delete(v.pendingMoves, m.ID)
-}
+func (v *View) removeMember(m *member) { delete(v.members, m.ID) }
 
 // addMember adds a new member. If no source states its start time and the initial list is complete, it counts as just started.
 func (v *View) addMember(c *member) {
-	c.cell = v.pods.number(groupOf(c.ID, c.scope()))
+	c.cell = v.groups.cell(v.groupOf(c))
 	if v.initialListComplete && c.Started == 0 && c.FieldSources[FieldAddress] != SourceRestored {
 		c.Started = v.now
 	}
@@ -202,20 +194,18 @@
 }
 
 // updateMember replaces a member. A member whose address changed is a new process, which counts as just started if no source
-// states its start time.
-func (v *View) updateMember(c, before *member) {
+// states its start time. A member whose group changed is in its new group at once: it no longer drops repeats with the servers of the
+// old one, and stays in service.
+func (v *View) updateMember(c, before *member, out *Outcome) {
 	if c.Started == 0 {
 		c.Started = before.Started
 		if c.Address != before.Address && v.initialListComplete {
 			c.Started = v.now
 		}
 	}
-	c.cell = before.cell
-	c.move = before.move
-	v.planMove(c, before.scope())
-	v.members[c.ID] = c
-	delete(v.pendingMoves, c.ID)
-	if c.move.pending() {
-		v.pendingMoves[c.ID] = c
+	c.cell = v.groups.cell(v.groupOf(c))
+	if c.cell != before.cell {
+		out.Moved++
 	}
+	v.members[c.ID] = c
 }
--- a/internal/endpointmerge/publish.go
+++ b/internal/endpointmerge/publish.go
@@ -31,7 +31,7 @@
 	sortByID(out.Changes)
 }
 
-// entry returns the published form of a member. A member drains while it moves.
+// entry returns the published form of a member.
 func (m *member) entry() Entry {
 	e := Entry{
 		ID:       m.ID,
@@ -40,7 +40,7 @@
 		Cell:     m.cell,
 		Size:     m.Size,
 		Started:  m.Started,
-		Draining: m.Phase == inventory.Draining || m.move.started(),
+		Draining: m.Phase == inventory.Draining,
 	}
 	if e.Size == 0 {
 		e.Size = defaultSize
--- a/internal/endpointmerge/settings.go
+++ b/internal/endpointmerge/settings.go
@@ -38,13 +38,6 @@
 	MaxRemovedFraction float64
 	MinHeldRemovals    int
 
-	// A server whose dedup scope (zone and pod) changes keeps its old scope for PodHold and gets no new requests in that time:
-	// servers drop repeats of a request with an idempotency key within a scope, and a request that was sent before the move may
-	// still be repeated in the old one. At most MaxMovingFraction (0 to 1) of the members, but at least one, move at a time; the
-	// others stay in service in their old scope. With PodHold 0 the scope changes at once.
-	PodHold           Millis
-	MaxMovingFraction float64
-
 	// TombstoneTTL is how long a removal by one source overrides other sources that still list the server. After that, a new
 	// report of the server by another source restores it.
 	TombstoneTTL Millis
--- a/internal/endpointmerge/view.go
+++ b/internal/endpointmerge/view.go
@@ -22,15 +22,13 @@
 
 	restoredOrigins map[string][]string // by server id: the sources from which the restored list has it
 
-	tombstones   tombstones
-	held         heldLists
-	precedence   map[string][]string // by field: sources, highest precedence first; "" for fields without a precedence of their own
-	conflicts    map[string]Conflict // current conflicts, by conflictKey
-	addresses    addressClaims
-	members      map[string]*member
-	pods         podNumbers
-	movingCount  int                // number of members that are moving to another dedup scope
-	pendingMoves map[string]*member // members with a queued or started move, by id
+	tombstones tombstones
+	held       heldLists
+	precedence map[string][]string // by field: sources, highest precedence first; "" for fields without a precedence of their own
+	conflicts  map[string]Conflict // current conflicts, by conflictKey
+	addresses  addressClaims
+	members    map[string]*member
+	groups     *DedupGroups
 
 	published map[string]Entry // by id
 	dirtyIDs  idSet            // members whose published entry may be outdated
@@ -43,18 +41,17 @@
 // New returns an empty view.
 func New(s Settings) *View {
 	v := &View{
-		settings:     s,
-		sources:      map[string]*source{},
-		tombstones:   tombstones{},
-		held:         newHeldLists(),
-		precedence:   map[string][]string{},
-		conflicts:    map[string]Conflict{},
-		addresses:    newAddressClaims(),
-		members:      map[string]*member{},
-		pods:         newPodNumbers(),
-		pendingMoves: map[string]*member{},
-		published:    map[string]Entry{},
-		dirtyIDs:     idSet{},
+		settings:   s,
+		sources:    map[string]*source{},
+		tombstones: tombstones{},
+		held:       newHeldLists(),
+		precedence: map[string][]string{},
+		conflicts:  map[string]Conflict{},
+		addresses:  newAddressClaims(),
+		members:    map[string]*member{},
+		groups:     NewDedupGroups(),
+		published:  map[string]Entry{},
+		dirtyIDs:   idSet{},
 	}
 	for _, name := range s.Sources {
 		v.sources[name] = newSource()
@@ -82,8 +79,8 @@
 	v.releaseHeld(released, &out)
 	v.dropRestored(released)
 	v.merge(released, &out)
-	v.advanceMoves(&out)
 	v.publishChanges(&out)
+	v.groups.prune(v.members)
 	timedOut := now-v.firstEventTime >= initialListTimeout
 	v.initialListComplete = v.initialListComplete || v.allReported() || v.Stale() || timedOut
 	return out
--- a/internal/endpoints/inventory.go
+++ b/internal/endpoints/inventory.go
@@ -34,8 +34,6 @@
 type Node interface {
 	Endpoints() *Directory
 	Clock() clock.Clock
-	// LongestDedupWindow returns the longest time for which servers drop repeats of a request with an idempotency key.
-	LongestDedupWindow() time.Duration
 	Counters() *counters.Counters
 }
 
@@ -96,7 +94,7 @@
 		maxFileBytes:   maxFileBytes(host.Limits.MemoryBytes),
 		events:         make(chan sourceEvent, maxQueuedEvents),
 		cancel:         func() {},
-		view:           endpointmerge.New(o.settings(node.LongestDedupWindow())),
+		view:           endpointmerge.New(o.settings()),
 		lastAcceptedAt: map[string]time.Time{},
 	}
 	i.predecessor, _ = old.(*Inventory)
@@ -138,51 +136,40 @@
 
 // run handles the sources' events and the timers until the subsystem stops.
 func (i *Inventory) run() {
-	tickTimer := time.NewTimer(time.Hour) // placeholder: reset as soon as the view requests a Tick
-	defer tickTimer.Stop()
 	firstListTimer := time.NewTimer(firstListTimeout)
 	defer firstListTimer.Stop()
 	saveTicker := time.NewTicker(i.options.SaveEvery.Std())
 	defer saveTicker.Stop()
 	for {
-		nextTick := endpointmerge.Millis(0)
 		select {
 		case e := <-i.events:
-			nextTick = i.handle(e)
-		case <-tickTimer.C:
-			nextTick = i.handle(sourceEvent{event: endpointmerge.Tick{}})
+			i.handle(e)
 		case <-firstListTimer.C:
-			nextTick = i.handleFirstListTimeout()
+			i.handleFirstListTimeout()
 		case <-saveTicker.C:
 			i.save()
-			continue
 		case <-i.done:
 			return
 		}
-		if nextTick > 0 {
-			tickTimer.Reset(max(0, clock.Duration(nextTick-i.node.Clock().Now())))
-		}
 	}
 }
 
-// handleFirstListTimeout allows the first list to be published without the sources that have not reported. It returns the time
-// at which the next Tick is due.
-func (i *Inventory) handleFirstListTimeout() endpointmerge.Millis {
+// handleFirstListTimeout allows the first list to be published without the sources that have not reported.
+func (i *Inventory) handleFirstListTimeout() {
 	if pending := i.view.PendingSources(); !i.published && !i.allowPartialList {
 		i.log.Warn("some sources have not reported yet; continuing without them", "code", "inventory_partial", "sources", pending)
 	}
 	i.allowPartialList = true
-	return i.handle(sourceEvent{event: endpointmerge.Tick{}})
+	i.handle(sourceEvent{event: endpointmerge.Tick{}})
 }
 
-// handle merges one event, publishes the changes and logs the outcome. It returns the time at which the next Tick is due, or 0
-// if none is.
-func (i *Inventory) handle(e sourceEvent) endpointmerge.Millis {
+// handle merges one event, publishes the changes and logs the outcome.
+func (i *Inventory) handle(e sourceEvent) {
 	count := &i.node.Counters().Inventory
 	if e.err != nil {
 		count.Invalid.Inc()
 		i.logRejected(e.file, e.err)
-		return 0
+		return
 	}
 	outcome := i.view.Step(i.node.Clock().Now(), e.event)
 	i.publish(e, outcome)
@@ -191,7 +178,6 @@
 		count.Lists.Inc()
 		i.lastAcceptedAt[snapshot.Source] = time.Now()
 	}
-	return outcome.NextTick
 }
 
 // publish sends the balancer the full merged list once it is ready and, after that, the changes of each event. An answer from
--- a/internal/endpoints/options.go
+++ b/internal/endpoints/options.go
@@ -28,8 +28,9 @@
 	RemoveLeast int     `toml:"remove_least"` // number of servers; default 3
 
 	// How servers move to another pod.
-	PodHold   operator.Duration `toml:"pod_hold"`   // how long a moving server gets no new requests; 0, the default: the longest dedup window
-	MoveShare float64           `toml:"move_share"` // fraction of the servers that move at a time; default 0.1
+	// PodHold and MoveShare are accepted and have no effect: a server is in its new pod at once.
+	PodHold   operator.Duration `toml:"pod_hold"`
+	MoveShare float64           `toml:"move_share"`
 
 	Tombstone operator.Duration `toml:"tombstone"` // how long a removal overrides sources that still list the server; default 10m
 
@@ -134,20 +135,14 @@
 	return endpointmerge.Snapshot{Source: sourceStatic, Revision: "file", Servers: servers}
 }
 
-// settings converts the options to the settings of the merged view. If pod_hold is not set, dedupWindow is used instead.
-func (o *Options) settings(dedupWindow time.Duration) endpointmerge.Settings {
-	podHold := o.PodHold.Std()
-	if podHold == 0 {
-		podHold = dedupWindow
-	}
+// settings converts the options to the settings of the merged view.
+func (o *Options) settings() endpointmerge.Settings {
 	s := endpointmerge.Settings{
 		Sources:            o.sources(),
 		FieldPrecedence:    o.fieldPrecedence(),
 		RequiredSources:    o.Require,
 		MaxRemovedFraction: o.RemoveShare,
 		MinHeldRemovals:    o.RemoveLeast,
-		PodHold:            millis(podHold),
-		MaxMovingFraction:  o.MoveShare,
 		TombstoneTTL:       millis(o.Tombstone.Std()),
 	}
 	for _, f := range o.Files {
--- a/internal/endpoints/report.go
+++ b/internal/endpoints/report.go
@@ -18,7 +18,7 @@
 	snapshot, isSnapshot := e.event.(endpointmerge.Snapshot)
 	if isSnapshot && e.file != nil && len(outcome.Held) == 0 {
 		i.log.Info("list file accepted", "code", "inventory_list", "file", e.file.Path, "sha256", snapshot.Revision, "servers", e.servers,
-			"changed", len(outcome.Changes), "moving", outcome.MovesStarted)
+			"changed", len(outcome.Changes), "moving", outcome.Moved)
 	}
 	i.logHeld(outcome)
 	i.logConflicts(outcome.Conflicts)
--- a/internal/endpoints/sequence_test.go
+++ b/internal/endpoints/sequence_test.go
@@ -108,7 +108,7 @@
 	stop      func()
 }
 
-// Endpoints, Clock, LongestDedupWindow and Counters make it the node of an inventory.
+// Endpoints, Clock and Counters make it the node of an inventory.
 type sequenceHost struct {
 	*fakeNode
 	directory *Directory
--- a/internal/endpoints/show.go
+++ b/internal/endpoints/show.go
@@ -59,7 +59,7 @@
 		return SavedState{}, errors.New("inventory show: no state folder, files or static servers are configured: pass --edge or --state")
 	}
 	const now = 1 // any time works, since nothing expires during one merge
-	view := endpointmerge.New(o.settings(0))
+	view := endpointmerge.New(o.settings())
 	if len(o.Static) > 0 {
 		view.Step(now, o.staticSnapshot())
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -108,7 +108,6 @@
 		initialList:     c.Known,
 		configWritten:   c.Written,
 		classes:         settings.Classes,
-		dedupWindow:     longestDedupWindow(settings),
 		clock:           clock.New(),
 		counters:        count,
 		maxConnsPerSide: budget.perSide,
@@ -244,17 +243,6 @@
 	return defaultConnectTimeoutMillis
 }
 
-// longestDedupWindow returns the longest dedup window of the classes with idempotency keys.
-func longestDedupWindow(settings balancer.Settings) time.Duration {
-	longest := 0.0
-	for _, class := range settings.Classes {
-		if class.Idempotency == balancer.IdempotentWithKey {
-			longest = max(longest, class.DedupWindow)
-		}
-	}
-	return clock.Duration(longest)
-}
-
 // longestTimeout returns the longest total timeout of any class.
 func longestTimeout(settings balancer.Settings) time.Duration {
 	longest := 0.0
--- a/internal/node/interfaces.go
+++ b/internal/node/interfaces.go
@@ -50,10 +50,6 @@
 // Counters returns the node's counters.
 func (n *node) Counters() *counters.Counters { return n.counters }
 
-// LongestDedupWindow returns the longest time during which repeats of a request with an idempotency
-// key are dropped.
-func (n *node) LongestDedupWindow() time.Duration { return n.dedupWindow }
-
 // Endpoints returns the directory that provides the endpoint list.
 func (n *node) Endpoints() *endpoints.Directory { return n.endpoints }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,6 @@
 	nodeNumber    int            // from the settings
 	initialList   discovery.List // from the configuration, the predecessor or the disk, used until discovery responds
 	classes       []balancer.Class
-	dedupWindow   time.Duration // the longest of all classes
 	configWritten time.Time
 	clock         clock.Clock
 	counters      *counters.Counters
