A pod keeps its number when [inventory] is turned on, off or changed

Cause: discovery's cells were compared with numbers that each merged view counted from 1 anew.

Change: DedupGroups assigns the numbers for all views of a process; a pod named by a number has that number, as in discovery's list, others get numbers above any cell, none of them twice.

--- a/internal/endpointmerge/dedupgroup.go
+++ b/internal/endpointmerge/dedupgroup.go
@@ -1,5 +1,7 @@
 package endpointmerge
 
+import "strconv"
+
 // dedupGroup identifies the servers that together drop repeats of a request with an idempotency key: those of a pod in its zone, since pods
 // of the same name in different zones are different groups. A server of which it is not known who drops its repeats is a group by itself.
 type dedupGroup struct {
@@ -8,13 +10,15 @@
 	onlyServer string // id of the only member; "" for the group of a pod
 }
 
-// firstAssignedCell is the first number that is assigned to a group.
-const firstAssignedCell = 1
+// firstAssignedCell is the first number that is assigned to a group. Discovery's cells are far below.
+const firstAssignedCell = 1 << 40
 
 // prunedGroups is the number of unused groups from which on they are removed.
 const prunedGroups = 64
 
-// DedupGroups assigns cells, the numbers that the balancer compares, to groups.
+// DedupGroups assigns cells, the numbers that the balancer compares, to groups. A pod whose name is a number has that number as its cell,
+// as in discovery's list, so that its cell stays the same when the inventory is turned on or off. All views of a process share the
+// assignment, one view at a time: the cells of one view are compared with those of the next one.
 type DedupGroups struct {
 	cellByGroup map[dedupGroup]int
 	groupByCell map[int]dedupGroup
@@ -26,18 +30,28 @@
 	return &DedupGroups{cellByGroup: map[dedupGroup]int{}, groupByCell: map[int]dedupGroup{}, nextCell: firstAssignedCell}
 }
 
-// cell returns the cell of a group, and assigns one if the group has none. A cell is never assigned twice.
+// cell returns the cell of a group, and assigns one if the group has none. A cell above firstAssignedCell is never assigned twice.
 func (g *DedupGroups) cell(group dedupGroup) int {
 	if cell, assigned := g.cellByGroup[group]; assigned {
 		return cell
 	}
-	cell := g.nextCell
-	g.nextCell++
+	cell, isNumber := group.number()
+	if _, taken := g.groupByCell[cell]; !isNumber || taken {
+		cell = g.nextCell
+		g.nextCell++
+	}
 	g.cellByGroup[group] = cell
 	g.groupByCell[cell] = group
 	return cell
 }
 
+// number returns the number that is the name of a pod.
+func (d dedupGroup) number() (int, bool) {
+	number, err := strconv.Atoi(d.pod)
+	isCanonical := err == nil && strconv.Itoa(number) == d.pod
+	return number, isCanonical && d.onlyServer == "" && number < firstAssignedCell
+}
+
 // prune removes the groups that no member uses, once there are many of them.
 func (g *DedupGroups) prune(members map[string]*member) {
 	if len(g.cellByGroup) <= len(members)+prunedGroups {
--- a/internal/endpointmerge/dedupgroup_test.go
+++ b/internal/endpointmerge/dedupgroup_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"tackhub.example/tackhub/internal/inventory"
 )
 
@@ -70,6 +72,28 @@
 	s.step(3000, Snapshot{Source: "file", Revision: "3", Servers: list}, " s1@2")
 }
 
+// The cells of two views were counted anew, so that a repeat whose first attempt went by the one list was sent to another pod by the other
+// one (SIGHUP that turns [inventory] on or off, or changes a key of it). The pods of discovery must have discovery's cells, and all others the
+// same cells in the next view, and never a cell that another pod had.
+func TestNextViewAssignsTheSameCells(t *testing.T) {
+	settings := testSettings()
+	groups := NewDedupGroups()
+	discovered := func() []inventory.Server {
+		return []inventory.Server{server("s1", "7"), server("s2", "7"), server("s3", "-2")}
+	}
+	static := []inventory.Server{server("s0", "p"), server("s4", "9"), server("s5", "q"), server("s6", "07")}
+	first := sequence{t, NewWithGroups(settings, groups)}
+	first.step(1, Snapshot{Source: "file", Revision: "1", Servers: static}, " s0@1 s4@#9 s5@2 s6@3")
+	first.step(2, Snapshot{Source: "discovery", Revision: "1", Servers: discovered()}, " s1@#7 s2@#7 s3@#-2")
+	next := sequence{t, NewWithGroups(settings, groups)}
+	next.step(1, Snapshot{Source: "discovery", Revision: "1", Servers: discovered()}, " s1@#7 s2@#7 s3@#-2")
+	static[0].Pod, static[2].Pod = "q", "r"
+	next.step(2, Snapshot{Source: "file", Revision: "2", Servers: static}, " s0@2 s4@#9 s5@4 s6@3")
+	otherZone := append(discovered(), server("s9", "7"))
+	otherZone[3].Zone = "b"
+	next.step(3, Snapshot{Source: "discovery", Revision: "2", Servers: otherZone}, " s9@5")
+}
+
 // A tool that names its pods anew with each push must not fill the memory, and an unused name that comes back must not get a cell that another
 // pod has.
 func TestUnusedGroupsAreRemoved(t *testing.T) {
@@ -94,3 +118,44 @@
 		t.Errorf("%d groups have a cell after 200 pushes of 8, want at most %d", n, prunedGroups+16)
 	}
 }
+
+// After any lists, removals, withdrawals and changes of the view, two servers have one cell only if the latest news puts them into one pod of one
+// zone, and a server's cell changes only if its group does.
+func TestCellsFollowTheLatestNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := testSettings()
+		settings.GuardedSources = nil
+		groups := NewDedupGroups()
+		v := NewWithGroups(settings, groups)
+		groupByCell := map[int]dedupGroup{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			name := rapid.SampledFrom(settings.Sources).Draw(t, "source")
+			var e Event = Snapshot{Source: name, Revision: fmt.Sprint(i), Servers: drawServers(t, "list")}
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				e = Withdrawn{Source: name}
+			case 1: // SIGHUP with another key
+				next := NewWithGroups(settings, groups)
+				e = Snapshot{Source: SourceRestored, Revision: "running", Servers: serversOf(v.Members())}
+				v = next
+			}
+			v.Step(Millis(i+1), e)
+			for _, entry := range v.Published() {
+				group := v.groupOf(v.members[entry.ID])
+				if other, known := groupByCell[entry.Cell]; known && other != group {
+					t.Fatalf("cell %d of %+v was that of %+v", entry.Cell, group, other)
+				}
+				groupByCell[entry.Cell] = group
+			}
+		}
+	})
+}
+
+// serversOf returns the servers of members.
+func serversOf(members []Member) []inventory.Server {
+	var out []inventory.Server
+	for _, m := range members {
+		out = append(out, m.Server)
+	}
+	return out
+}
--- a/internal/endpointmerge/view.go
+++ b/internal/endpointmerge/view.go
@@ -38,8 +38,11 @@
 	now                 Millis // time of the last event
 }
 
-// New returns an empty view.
-func New(s Settings) *View {
+// New returns an empty view with groups of its own.
+func New(s Settings) *View { return NewWithGroups(s, NewDedupGroups()) }
+
+// NewWithGroups returns an empty view that continues the assignment of cells of the view before it.
+func NewWithGroups(s Settings, groups *DedupGroups) *View {
 	v := &View{
 		settings:   s,
 		sources:    map[string]*source{},
@@ -49,7 +52,7 @@
 		conflicts:  map[string]Conflict{},
 		addresses:  newAddressClaims(),
 		members:    map[string]*member{},
-		groups:     NewDedupGroups(),
+		groups:     groups,
 		published:  map[string]Entry{},
 		dirtyIDs:   idSet{},
 	}
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -27,6 +27,7 @@
 type Directory struct {
 	discovery DiscoveryClient
 	handler   discovery.ListHandler
+	groups    *endpointmerge.DedupGroups // used by the running inventory alone
 
 	mu        sync.RWMutex
 	consumer  discoveryConsumer            // nil if the inventory is off
@@ -35,7 +36,7 @@
 
 // New returns a directory that forwards lists to the handler. The inventory is off.
 func New(client DiscoveryClient, handler discovery.ListHandler) *Directory {
-	return &Directory{discovery: client, handler: handler}
+	return &Directory{discovery: client, handler: handler, groups: endpointmerge.NewDedupGroups()}
 }
 
 // Address returns the address of a server. It returns false if the server is not in the list or must not get new requests.
--- a/internal/endpoints/inventory.go
+++ b/internal/endpoints/inventory.go
@@ -94,7 +94,7 @@
 		maxFileBytes:   maxFileBytes(host.Limits.MemoryBytes),
 		events:         make(chan sourceEvent, maxQueuedEvents),
 		cancel:         func() {},
-		view:           endpointmerge.New(o.settings()),
+		view:           endpointmerge.NewWithGroups(o.settings(), node.Endpoints().groups),
 		lastAcceptedAt: map[string]time.Time{},
 	}
 	i.predecessor, _ = old.(*Inventory)
