Pods of saved, overridden and held lists are not trusted for repeats

What callers would see: a node that starts with a saved view repeats keyed requests in pods that the servers have left while it was down, until the file is read, for ever if it is missing. A held list that moves servers was ignored in the same way.

Cause: a server stood in the group of its last known pod, whoever had said so and when.

Change: View.groupIsOutdated. Such a server is a group by itself until its sources have spoken; the list of the view before (SIGHUP) still counts.

Evidence: TestSavedPodsAreNotTrustedUntilTheirSourcesHaveReported, TestServersThatAHeldListMovesAreGroupsByThemselves and TestServeFromSavedState failed before.

--- a/internal/endpointmerge/dedupgroup.go
+++ b/internal/endpointmerge/dedupgroup.go
@@ -69,10 +69,62 @@
 	}
 }
 
-// groupOf returns the group of a member.
+// groupOf returns the group of a member, by the latest news that the view has.
 func (v *View) groupOf(m *member) dedupGroup {
-	if m.Pod == "" {
+	if m.Pod == "" || v.groupIsOutdated(m) {
 		return dedupGroup{onlyServer: m.ID}
 	}
 	return dedupGroup{zone: m.Zone, pod: m.Pod}
 }
+
+// groupFields are the fields that determine a member's group.
+var groupFields = []string{FieldPod, FieldZone}
+
+// groupIsOutdated reports whether the group that a member's fields state may no longer be its own: they come from a list that an earlier
+// process saved, a source that overrides them has not reported since, or a list that states another group is held.
+func (v *View) groupIsOutdated(m *member) bool {
+	for _, field := range groupFields {
+		source, stated := m.FieldSources[field]
+		if !stated {
+			continue
+		}
+		if source == SourceRestored && !v.restoredIsCurrent {
+			return true
+		}
+		if v.overridingSourcePending(field, source) || v.heldListDiffers(m, field, source) {
+			return true
+		}
+	}
+	return false
+}
+
+// overridingSourcePending reports whether a source with a higher precedence for a field has reported to the view from which this one was
+// restored, or to the process that saved it, and not to this view.
+func (v *View) overridingSourcePending(field, source string) bool {
+	if !v.Stale() || source == SourceRestored {
+		return false
+	}
+	for _, name := range v.precedence[field] {
+		if name == source {
+			return false
+		}
+		if !v.sources[name].reported {
+			return true
+		}
+	}
+	return false
+}
+
+// heldListDiffers reports whether a held list states another value for a field than its present source, which it would override.
+func (v *View) heldListDiffers(m *member, field, source string) bool {
+	for _, name := range v.precedence[field] {
+		held, listed := v.held.servers[name][m.ID]
+		if text := fieldText(held, field); listed && text != "" && text != fieldText(m.Server, field) {
+			return true
+		}
+		if name == source {
+			return false
+		}
+	}
+	return false
+}
--- a/internal/endpointmerge/event.go
+++ b/internal/endpointmerge/event.go
@@ -14,6 +14,9 @@
 	// Origins are the sources from which the servers of a restored list come, by server id. If such a source's first list does not
 	// name the server, the server has been removed.
 	Origins map[string][]string
+	// Current reports of a restored list that it is that of the view before this one. Otherwise an earlier process saved it, and the
+	// servers may have changed their groups since.
+	Current bool
 }
 
 // Delta contains changes to a source's list.
--- a/internal/endpointmerge/guard.go
+++ b/internal/endpointmerge/guard.go
@@ -9,27 +9,47 @@
 // heldLists records the complete lists that are held because they remove too many servers. Such a list may come from a file
 // generated from partial data, which parses without errors but would take the missing servers out of service.
 type heldLists struct {
-	lists     map[string]Snapshot // by source
-	reported  map[string]string   // by source: revision of the held list that an Outcome has reported
-	confirmed map[string]string   // by source: revision that an operator has confirmed
+	lists     map[string]Snapshot                    // by source
+	servers   map[string]map[string]inventory.Server // of the lists, by source and id
+	reported  map[string]string                      // by source: revision of the held list that an Outcome has reported
+	confirmed map[string]string                      // by source: revision that an operator has confirmed
 }
 
 func newHeldLists() heldLists {
-	return heldLists{lists: map[string]Snapshot{}, reported: map[string]string{}, confirmed: map[string]string{}}
+	return heldLists{lists: map[string]Snapshot{}, servers: map[string]map[string]inventory.Server{}, reported: map[string]string{}, confirmed: map[string]string{}}
+}
+
+// hold adds a list. The servers that it names are added to changed, since it may make their groups outdated.
+func (h *heldLists) hold(e Snapshot, changed idSet) {
+	h.lists[e.Source] = e
+	h.servers[e.Source] = make(map[string]inventory.Server, len(e.Servers))
+	for _, server := range e.Servers {
+		h.servers[e.Source][server.ID] = server
+		changed[server.ID] = true
+	}
+}
+
+// remove removes the list of a source. The servers that it names are added to changed.
+func (h *heldLists) remove(source string, changed idSet) {
+	for id := range h.servers[source] {
+		changed[id] = true
+	}
+	delete(h.lists, source)
+	delete(h.servers, source)
 }
 
 // holdSnapshot holds a list that removes too many servers, and reports whether it did. The list replaces any list of the same
 // source that was held before.
-func (v *View) holdSnapshot(e Snapshot, out *Outcome) bool {
+func (v *View) holdSnapshot(e Snapshot, changed idSet, out *Outcome) bool {
 	before, wasHeld := v.held.lists[e.Source]
-	delete(v.held.lists, e.Source)
+	v.held.remove(e.Source, changed)
 	hold := v.removesTooMuch(e)
 	unchanged := hold && before.Revision == e.Revision
 	if wasHeld && !unchanged {
 		out.Released = append(out.Released, e.Source)
 	}
 	if hold {
-		v.held.lists[e.Source] = e
+		v.held.hold(e, changed)
 	}
 	return hold
 }
@@ -86,7 +106,7 @@
 			continue
 		}
 		if !v.removesTooMuch(e) {
-			delete(v.held.lists, name)
+			v.held.remove(name, changed)
 			delete(v.held.reported, name)
 			out.Released = append(out.Released, name)
 			v.applySnapshot(e, changed)
--- a/internal/endpointmerge/source.go
+++ b/internal/endpointmerge/source.go
@@ -35,7 +35,7 @@
 	if v.sources[e.Source] == nil {
 		return
 	}
-	if v.holdSnapshot(e, out) {
+	if v.holdSnapshot(e, changed, out) {
 		return
 	}
 	v.applySnapshot(e, changed)
@@ -46,6 +46,7 @@
 	s := v.sources[e.Source]
 	if e.Source == SourceRestored {
 		v.restoredOrigins = e.Origins
+		v.restoredIsCurrent = e.Current
 	}
 	previousServers := s.servers
 	s.servers = make(map[string]inventory.Server, len(e.Servers))
@@ -66,16 +67,21 @@
 	if firstReport {
 		v.removeRestored(e.Source, changed)
 	}
-	if firstReport && slices.Contains(v.settings.RequiredSources, e.Source) {
-		for id := range v.members { // members that the required source does not list are removed now
-			changed[id] = true
-		}
+	if firstReport { // a required source removes the members that it does not list; any source may make groups certain
+		v.recomputeMembers(changed)
 	}
 	for id := range v.tombstones { // this list may override an expired tombstone
 		changed[id] = true
 	}
 }
 
+// recomputeMembers adds all members to changed.
+func (v *View) recomputeMembers(changed idSet) {
+	for id := range v.members {
+		changed[id] = true
+	}
+}
+
 // handleDelta applies changes to a source's list.
 func (v *View) handleDelta(e Delta, changed idSet) {
 	s := v.sources[e.Source]
@@ -85,6 +91,7 @@
 	s.revision = e.Revision
 	if !s.reported {
 		v.adoptRestored(e.Source)
+		v.recomputeMembers(changed)
 	}
 	for _, server := range e.Updated {
 		s.update(server, v.now)
@@ -142,7 +149,7 @@
 		changed[id] = true
 	}
 	*s = *newSource()
-	delete(v.held.lists, name)
+	v.held.remove(name, changed)
 }
 
 // dropRestored drops the list restored from disk once every source has reported.
--- a/internal/endpointmerge/view.go
+++ b/internal/endpointmerge/view.go
@@ -20,7 +20,8 @@
 	settings Settings
 	sources  map[string]*source
 
-	restoredOrigins map[string][]string // by server id: the sources from which the restored list has it
+	restoredOrigins   map[string][]string // by server id: the sources from which the restored list has it
+	restoredIsCurrent bool                // the restored list is that of the view before this one, not of an earlier process
 
 	tombstones tombstones
 	held       heldLists
--- a/internal/endpoints/state.go
+++ b/internal/endpoints/state.go
@@ -28,7 +28,7 @@
 func (i *Inventory) restore() {
 	if i.predecessor != nil && i.predecessor.published {
 		i.allowPartialList = true
-		i.restoreMembers("running", i.predecessor.view.Members())
+		i.restoreMembers("running", true, i.predecessor.view.Members())
 		i.predecessor = nil
 		return
 	}
@@ -44,7 +44,7 @@
 	i.allowPartialList = true
 	i.log.Warn("serving from the saved list until every source has reported", "code", "inventory_stale", "servers", len(state.Members),
 		"age_s", int(time.Since(state.Saved).Seconds()))
-	i.restoreMembers("saved", state.Members)
+	i.restoreMembers("saved", false, state.Members)
 }
 
 // loadState reads the newest usable state and logs the files that it skipped.
@@ -60,9 +60,9 @@
 	return state, err
 }
 
-// restoreMembers adds members to the view as a restored list. It runs before the directory is attached; the next event publishes
+// restoreMembers adds members to the view as a restored list. Current reports that they are those of the view before this one. It runs before the directory is attached; the next event publishes
 // the members.
-func (i *Inventory) restoreMembers(revision string, members []endpointmerge.Member) {
+func (i *Inventory) restoreMembers(revision string, current bool, members []endpointmerge.Member) {
 	servers := make([]inventory.Server, 0, len(members))
 	origins := make(map[string][]string, len(members))
 	for _, m := range members {
@@ -72,7 +72,7 @@
 		}
 	}
 	i.view.Step(i.node.Clock().Now(), endpointmerge.Snapshot{Source: endpointmerge.SourceRestored, Revision: revision, Servers: servers,
-		Origins: origins})
+		Origins: origins, Current: current})
 }
 
 // save writes the view to disk if it has changed. Consecutive failures, as on a full or read-only disk, are logged once, and
