No attempt is written to a server that has left the group it was chosen for

What callers would see: a repeat that waited for its connection while a list moved its server to another pod ran a second time there.

Cause: senders compared the server's address before the last byte, not its group.

Change: StartAttempt.Group goes with the attempt; Transmission compares it with the list that was passed to the balancer last. The attempt ends as not sent and is decided on anew.

--- a/internal/coap/back/transport_test.go
+++ b/internal/coap/back/transport_test.go
@@ -47,6 +47,8 @@
 
 func (r resolver) Address(balancer.ServerID) (string, bool) { return string(r), r != "" }
 
+func (r resolver) Groups(balancer.ServerID) (string, int, bool) { return "", 0, false }
+
 // testServer answers each confirmable message with the messages that a function returns for it.
 type testServer struct {
 	conn net.PacketConn
--- a/internal/coap/back/writedeadline_test.go
+++ b/internal/coap/back/writedeadline_test.go
@@ -89,25 +89,34 @@
 	}
 }
 
-// withdrawnResolver returns an address until the server is withdrawn.
+// withdrawnResolver returns an address until the server is withdrawn, and cell 1 until it changes to cell 2.
 type withdrawnResolver struct {
-	address   string
-	withdrawn atomic.Bool
+	address     string
+	withdrawn   atomic.Bool
+	cellChanged atomic.Bool
+}
+
+func (r *withdrawnResolver) Groups(balancer.ServerID) (zone string, cell int, known bool) {
+	if r.cellChanged.Load() {
+		return "z", 2, true
+	}
+	return "z", 1, true
 }
 
 func (r *withdrawnResolver) Address(balancer.ServerID) (string, bool) {
 	return r.address, !r.withdrawn.Load()
 }
 
-// The client leaves, or the server is withdrawn, while the blocks of a request are sent. The last block must not be sent, and the attempt
+// The client leaves, the server is withdrawn, or it leaves the group that remembers the key, while the blocks of a request are sent. The last block must not be sent, and the attempt
 // must end as not sent.
 func TestUploadEndsWhenItIsNoLongerWanted(t *testing.T) {
-	for _, reason := range []string{"client disconnects", "server is withdrawn"} {
+	for _, reason := range []string{"client disconnects", "server is withdrawn", "server leaves its group"} {
 		t.Run(reason, func(t *testing.T) {
 			resolver := &withdrawnResolver{}
 			var clientGone atomic.Bool
 			server := uploadServer(t, 0, func(number uint32) {
 				if number == 3 {
+					resolver.cellChanged.Store(reason == "server leaves its group")
 					clientGone.Store(reason == "client disconnects")
 					resolver.withdrawn.Store(reason == "server is withdrawn")
 				}
@@ -116,7 +125,7 @@
 			transport, _ := startTransport("")
 			transport.options.Resolver = resolver
 			completions := make(chan engine.Completion, 1)
-			transport.Send("s1", engine.OutgoingRequest{Bytes: longRequest(8), ClientWaiting: func() bool { return !clientGone.Load() }},
+			transport.Send("s1", engine.OutgoingRequest{Bytes: longRequest(8), Group: balancer.DedupGroup{Scope: balancer.DedupWithinCell, Cell: 1}, ClientWaiting: func() bool { return !clientGone.Load() }},
 				func(c engine.Completion) { completions <- c })
 			completion := waitForCompletion(t, completions)
 			if completion.Outcome != balancer.NotSent || completion.ClientDisconnected != clientGone.Load() {
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -30,8 +30,15 @@
 	groups    *endpointmerge.DedupGroups // used by the running inventory alone
 
 	mu        sync.RWMutex
-	consumer  discoveryConsumer            // nil if the inventory is off
-	addresses map[balancer.ServerID]string // nil if the inventory is off or has not published a list yet
+	consumer  discoveryConsumer               // nil if the inventory is off
+	addresses map[balancer.ServerID]string    // nil if the inventory is off or has not published a list yet
+	placement map[balancer.ServerID]placement // by the list that was passed to the balancer last
+}
+
+// placement is where a server is, by the list that was passed to the balancer last.
+type placement struct {
+	zone string
+	cell int
 }
 
 // New returns a directory that forwards lists to the handler. The inventory is off.
@@ -50,6 +57,28 @@
 	return address, ok
 }
 
+// Groups returns the zone and the cell of a server by the list that was passed to the balancer last; false if it does not name the server.
+func (d *Directory) Groups(id balancer.ServerID) (zone string, cell int, known bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	p, known := d.placement[id]
+	return p.zone, p.cell, known
+}
+
+// recordPlacement records where the servers of a list are that is about to be passed to the balancer. The caller holds the lock.
+func (d *Directory) recordPlacement(list []balancer.Endpoint, kind balancer.UpdateKind) {
+	if kind != balancer.DeltaUpdate || d.placement == nil {
+		d.placement = make(map[balancer.ServerID]placement, len(list))
+	}
+	for _, e := range list {
+		if e.State == balancer.Removed {
+			delete(d.placement, e.ID)
+			continue
+		}
+		d.placement[e.ID] = placement{zone: e.Zone, cell: e.Cell}
+	}
+}
+
 // UpdateEndpoints forwards the events from discovery that contain no members: a failed call, or a stale list. If the inventory
 // is on, it does not forward stale lists: discovery is only one of the sources, and the merged list can be current without it.
 func (d *Directory) UpdateEndpoints(l balancer.EndpointUpdate) {
@@ -66,14 +95,19 @@
 
 // HandleMembers forwards discovery's list or its changes to the inventory if it is on, otherwise to the balancer.
 func (d *Directory) HandleMembers(l discovery.List, kind balancer.UpdateKind) {
-	d.mu.RLock()
+	d.mu.Lock()
 	consumer := d.consumer
-	d.mu.RUnlock()
+	update := balancer.EndpointUpdate{Kind: kind}
+	if consumer == nil {
+		update.Endpoints = l.Endpoints()
+		d.recordPlacement(update.Endpoints, kind)
+	}
+	d.mu.Unlock()
 	if consumer != nil {
 		consumer.handleDiscovery(l, kind)
 		return
 	}
-	d.handler.UpdateEndpoints(balancer.EndpointUpdate{Kind: kind, Endpoints: l.Endpoints()})
+	d.handler.UpdateEndpoints(update)
 }
 
 // attach turns the inventory on: from then on, addresses and lists come from publish. It requests discovery's complete list
@@ -116,6 +150,7 @@
 		}
 		converted = append(converted, entry)
 	}
+	d.recordPlacement(converted, kind)
 	d.mu.Unlock()
 	d.handler.UpdateEndpoints(balancer.EndpointUpdate{Kind: kind, Endpoints: converted})
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -96,8 +96,8 @@
 
 func (r *fakeRequest) Arrival() balancer.Arrival { return r.arrival }
 func (r *fakeRequest) Respond(resp Response)     { r.responses <- resp }
-func (r *fakeRequest) StartAttempt(id balancer.ServerID, timeout, _ balancer.Millis, done func(Completion)) Attempt {
-	a := &fakeAttempt{server: id, timeout: timeout, done: done, written: r.written, aborted: make(chan struct{})}
+func (r *fakeRequest) StartAttempt(options AttemptOptions, done func(Completion)) Attempt {
+	a := &fakeAttempt{server: options.Server, timeout: options.Timeout, done: done, written: r.written, aborted: make(chan struct{})}
 	r.attempts <- a
 	return a
 }
--- a/internal/engine/pending.go
+++ b/internal/engine/pending.go
@@ -95,7 +95,12 @@
 	e.counters.Attempts.Sent.Inc()
 	e.counters.Attempts.Open.Inc()
 	done := func(c Completion) { e.post(attemptCompleted{a, c}) }
-	a.handle = r.source.StartAttempt(action.Server, deadline-now, action.WriteDeadline, done)
+	a.handle = r.source.StartAttempt(AttemptOptions{
+		Server:        action.Server,
+		Group:         action.Group,
+		Timeout:       deadline - now,
+		WriteDeadline: action.WriteDeadline,
+	}, done)
 	if !r.bodyPending {
 		e.timers.add(deadline, "", a)
 	}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -10,13 +10,20 @@
 // Request is a client's request. Its methods do not block.
 type Request interface {
 	Arrival() balancer.Arrival
-	// StartAttempt starts an attempt. An infinite timeout means that the body is still being
-	// uploaded. The request must be completely written by writeDeadline; 0: no limit. done is
-	// called once, unless the attempt is aborted first.
-	StartAttempt(server balancer.ServerID, timeout, writeDeadline balancer.Millis, done func(Completion)) Attempt
+	// StartAttempt starts an attempt. done is called once, unless the attempt is aborted first.
+	StartAttempt(options AttemptOptions, done func(Completion)) Attempt
 	Respond(Response)
 }
 
+// AttemptOptions describe an attempt that the balancer has decided on.
+type AttemptOptions struct {
+	Server  balancer.ServerID
+	Group   balancer.DedupGroup // in which the server must be when the request is completely written
+	Timeout balancer.Millis     // infinite while the body is still being uploaded
+	// WriteDeadline is the time by which the request must be completely written; 0: no limit.
+	WriteDeadline balancer.Millis
+}
+
 // Attempt is an attempt in flight.
 type Attempt interface {
 	// Abort ends the attempt without blocking. It reports whether the server may have received the
@@ -80,6 +87,9 @@
 	// WriteDeadline is the time by which the last byte must have reached the server; zero: no limit. If a
 	// retry arrives after the end of its dedup window, the server may run the request a second time.
 	WriteDeadline time.Time
+	// Group is the dedup group in which the server must be when the last byte is written: it remembers the request's key. Otherwise a
+	// repeat of the request would go to servers that do not remember it.
+	Group balancer.DedupGroup
 	// ClientWaiting reports whether the client is still connected; nil: not checked. Transmission calls
 	// it, because the client's cancellation may still be queued in the engine's mailbox.
 	ClientWaiting func() bool
--- a/internal/engine/transmission.go
+++ b/internal/engine/transmission.go
@@ -41,8 +41,8 @@
 	return nil
 }
 
-// Check returns the reason why the request must not be completed any longer: ErrAborted, ErrWriteDeadline, ErrClientDisconnected or
-// ErrWithdrawn. Transports also call it before earlier parts of the request, with the shortest time until its last byte can reach the
+// Check returns the reason why the request must not be completed any longer: ErrAborted, ErrWriteDeadline, ErrClientDisconnected,
+// ErrGroupChanged or ErrWithdrawn. Transports also call it before earlier parts of the request, with the shortest time until its last byte can reach the
 // server, so that an attempt ends as soon as it is certain that it cannot be completed.
 //
 // The write deadline is the end of the time for which servers drop repeats, counted from the start of the first attempt that may have
@@ -58,6 +58,9 @@
 	if t.Request.ClientWaiting != nil && !t.Request.ClientWaiting() {
 		return ErrClientDisconnected
 	}
+	if err := checkGroup(t.Resolver, t.Server, t.Request.Group); err != nil {
+		return err
+	}
 	return CheckOffered(t.Resolver, t.Server, address)
 }
 
@@ -93,5 +96,6 @@
 // WasWithheld reports whether an error is one of those with which Commit and Check withhold a request. Such an attempt was not sent, for a
 // reason that has nothing to do with the server.
 func WasWithheld(err error) bool {
-	return errors.Is(err, ErrAborted) || errors.Is(err, ErrWriteDeadline) || errors.Is(err, ErrClientDisconnected) || errors.Is(err, ErrWithdrawn)
+	return errors.Is(err, ErrAborted) || errors.Is(err, ErrWriteDeadline) || errors.Is(err, ErrClientDisconnected) ||
+		errors.Is(err, ErrGroupChanged) || errors.Is(err, ErrWithdrawn)
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -75,22 +75,20 @@
 	return append(out, o.body...)
 }
 
-// StartAttempt starts an attempt. The engine calls it for each attempt that the balancer decides on. An infinite timeout means
-// that the request's body is still being uploaded. The last byte must be written by writeDeadline; 0: no limit.
-func (r *request) StartAttempt(
-	server balancer.ServerID, timeout, writeDeadline balancer.Millis, done func(engine.Completion),
-) engine.Attempt {
+// StartAttempt starts an attempt. The engine calls it for each attempt that the balancer decides on.
+func (r *request) StartAttempt(options engine.AttemptOptions, done func(engine.Completion)) engine.Attempt {
 	relayed := &r.handler.options.Counters.Operations.For(r.class.Name).Relayed
 	attempt := engine.OutgoingRequest{
-		Encode:        r.encoder(timeout),
+		Encode:        r.encoder(options.Timeout),
 		Body:          r.outgoing.largeBody,
 		OnWritten:     relayed.Inc,
+		Group:         options.Group,
 		ClientWaiting: r.clientWaiting,
 	}
-	if writeDeadline > 0 {
-		attempt.WriteDeadline = time.Now().Add(clock.Duration(writeDeadline - r.handler.options.Clock.Now()))
+	if options.WriteDeadline > 0 {
+		attempt.WriteDeadline = time.Now().Add(clock.Duration(options.WriteDeadline - r.handler.options.Clock.Now()))
 	}
-	return r.handler.options.Send(server, attempt, done)
+	return r.handler.options.Send(options.Server, attempt, done)
 }
 
 // encoder returns a function that encodes the request with the time that is left of an attempt's timeout, which runs from now. The timeout of an
--- a/internal/upstream/fixtures_test.go
+++ b/internal/upstream/fixtures_test.go
@@ -15,6 +15,11 @@
 // fixedResolver is a Resolver with a fixed table of addresses.
 type fixedResolver map[balancer.ServerID]string
 
+// Groups returns the group of every server: zone z and cell 1.
+func (r fixedResolver) Groups(balancer.ServerID) (zone string, cell int, known bool) {
+	return "z", 1, true
+}
+
 func (r fixedResolver) Address(id balancer.ServerID) (string, bool) {
 	addr, ok := r[id]
 	return addr, ok
--- a/internal/upstream/withdrawal_test.go
+++ b/internal/upstream/withdrawal_test.go
@@ -20,6 +20,8 @@
 	callCount atomic.Int64
 }
 
+func (r *withdrawingResolver) Groups(balancer.ServerID) (string, int, bool) { return "", 0, false }
+
 func (r *withdrawingResolver) Address(balancer.ServerID) (string, bool) {
 	if r.callCount.Add(1) <= r.offers {
 		return r.address, true
