A client that stays is not taken for gone behind its own unread bytes

Cause: takes a close that can't be seen for a close. Both rules bind: nothing begins 0.1 s after a close, and a sound connection is not cut off. So it has to be seen.

Change: while a complete request is in flight, unread bytes beyond 32 KiB are read ahead, 1 MiB of a connection and a tenth of the memory in all, on the account. Where the limits stop that nothing begins for the client; its request waits and is refused as harmless at its deadline (503, rejections.client_unseen). The connection stays.

Evidence: TestClientThatPipelinesAndStaysGetsAllAnswers failed before with 100 and 40 of 2 kB and with five of which three have 60 kB; smaller pipelines and heads alone passed before and after.

--- /dev/null
+++ b/cmd/tackhub/pipelining_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// requestOfSize returns a request of about the given size in bytes: a read with a long query, or an upload with a body.
+func requestOfSize(class string, deadlineMs, size int) string {
+	raw := request(class, deadlineMs)
+	if class == "look" {
+		return strings.Replace(raw, " /look ", " /look?"+strings.Repeat("q", size)+" ", 1)
+	}
+	return strings.Replace(raw, "Content-Length: 9\r\n\r\namount=12", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size)), 1)
+}
+
+// A client writes many requests at once, stays, and reads all answers. The node took it for gone, since so much of its own lay unread that a
+// close could have hidden behind it: it got 499 and the end of the connection in place of its answers. Clients whose requests fit into the
+// kernel, and one that writes one at a time, are the neighbours.
+func TestClientThatPipelinesAndStaysGetsAllAnswers(t *testing.T) {
+	const clients, rounds = 4, 5
+	for name, requests := range map[string][]string{
+		"100 of 2 kB":          repeated(100, func() string { return requestOfSize("look", 10_000, 2000) }),
+		"40 of 2 kB":           repeated(40, func() string { return requestOfSize("look", 10_000, 2000) }),
+		"five, three of 60 kB": append(repeated(2, func() string { return requestOfSize("look", 10_000, 10) }), repeated(3, func() string { return requestOfSize("bill", 10_000, 60_000) })...),
+		"20 of 20 kB":          repeated(20, func() string { return requestOfSize("bill", 10_000, 20_000) }),
+		"20 of 2 kB":           repeated(20, func() string { return requestOfSize("look", 10_000, 2000) }),
+		"heads alone":          repeated(100, func() string { return request("look", 10_000) }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startForPipelines(t, 10*time.Millisecond)
+			var all sync.WaitGroup
+			for client := range clients {
+				all.Go(func() {
+					for round := range rounds {
+						checkPipeline(t, p, fmt.Sprintf("%d-%d-", client, round), requests)
+					}
+				})
+			}
+			all.Wait()
+		})
+	}
+}
+
+// startForPipelines starts four servers that take a time for each request, and a node whose requests have 10 s, so that nothing is refused
+// because it waits behind others.
+func startForPipelines(t *testing.T, work time.Duration) *nodeProcess {
+	t.Helper()
+	var servers []*backend
+	for i := range 4 {
+		servers = append(servers, startBackend(t, fmt.Sprintf("s%d", i), func(c net.Conn, req receivedRequest) bool {
+			time.Sleep(work)
+			return respondWithID(c, req)
+		}))
+	}
+	settings := strings.ReplaceAll(testSettings, `"hard_limit_ms":1500`, `"hard_limit_ms":10000`)
+	p, _ := startWithBackends(t, strings.ReplaceAll(settings, `"aim_ms":400`, `"aim_ms":8000`), servers...)
+	return p
+}
+
+// repeated returns n requests.
+func repeated(n int, make func() string) []string {
+	var out []string
+	for range n {
+		out = append(out, make())
+	}
+	return out
+}
+
+// checkPipeline writes requests at once and expects the answer of each, in order. It gives each an id of its own.
+func checkPipeline(t *testing.T, p *nodeProcess, prefix string, requests []string) {
+	t.Helper()
+	var ids []string
+	var text strings.Builder
+	for i, raw := range requests {
+		id := fmt.Sprintf("%-16s", fmt.Sprintf("%s%d", prefix, i))
+		id = strings.ReplaceAll(id, " ", "x")
+		ids = append(ids, id)
+		text.WriteString(strings.Replace(raw, requestID(raw), id, 1))
+	}
+	c := p.connect()
+	defer func() { _ = c.Close() }()
+	go func() { _, _ = c.Write([]byte(text.String())) }()
+	for i, id := range ids {
+		resp, err := c.read()
+		if err != nil || resp.status != 200 || resp.body != id {
+			t.Errorf("answer %d of %d: status %d %q, error %v, want 200 %q", i+1, len(ids), resp.status, resp.body, err, id)
+			return
+		}
+	}
+}
--- a/cmd/tackhub/podmoves_test.go
+++ b/cmd/tackhub/podmoves_test.go
@@ -122,7 +122,9 @@
 func TestRepeatsRunOnceWhileFilesMoveServersBetweenPods(t *testing.T) {
 	initial := []string{"p1", "p1", "p1", "p1", "p1", "p2", "p2", "p2"}
 	swapped := []string{"p2", "p2", "p2", "p2", "p2", "p1", "p1", "p1"}
-	moved := func(n int) []string { return append(append([]string{"p1", "p1"}, strings.Fields(strings.Repeat("p2 ", n))...), initial[2+n:]...) }
+	moved := func(n int) []string {
+		return append(append([]string{"p1", "p1"}, strings.Fields(strings.Repeat("p2 ", n))...), initial[2+n:]...)
+	}
 	for name, c := range map[string]struct {
 		files [][]string
 		apart time.Duration
--- a/internal/coap/front/request.go
+++ b/internal/coap/front/request.go
@@ -247,5 +247,8 @@
 // Disconnected returns false, since a disconnect cannot be detected.
 func (d device) Disconnected() bool { return false }
 
+// MayHaveDisconnected returns false, as Disconnected does.
+func (d device) MayHaveDisconnected() bool { return false }
+
 // SetCloseReason does nothing, since there is no connection to close.
 func (d device) SetCloseReason(string) {}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -93,6 +93,9 @@
 	// ClientWaiting reports whether the client is still connected; nil: not checked. Transmission calls
 	// it, because the client's cancellation may still be queued in the engine's mailbox.
 	ClientWaiting func() bool
+	// ClientMayHaveLeft reports whether the client may have disconnected, which cannot be seen now; nil: not checked. It is true as well if the
+	// client has disconnected.
+	ClientMayHaveLeft func() bool
 }
 
 // RequestBody is a large request body that is stored outside memory.
@@ -112,6 +115,9 @@
 	// ErrClientDisconnected is returned if a request was not completely written because its client
 	// disconnected. The server has not received the complete request, so it cannot have run it.
 	ErrClientDisconnected = errors.New("client disconnected before the request was completely written")
+	// ErrClientUnseen is returned if a request was not completely written because its client may have disconnected. The server has not
+	// received the complete request, so it cannot have run it.
+	ErrClientUnseen = errors.New("the client may have disconnected behind unread bytes")
 )
 
 // Encoded returns the bytes of the request. The sender calls it right before it writes them.
--- a/internal/engine/transmission.go
+++ b/internal/engine/transmission.go
@@ -42,7 +42,7 @@
 }
 
 // Check returns the reason why the request must not be completed any longer: ErrAborted, ErrWriteDeadline, ErrClientDisconnected,
-// ErrGroupChanged or ErrWithdrawn. Transports also call it before earlier parts of the request, with the shortest time until its last byte can reach the
+// ErrClientUnseen, ErrGroupChanged or ErrWithdrawn. Transports also call it before earlier parts of the request, with the shortest time until its last byte can reach the
 // server, so that an attempt ends as soon as it is certain that it cannot be completed.
 //
 // The write deadline is the end of the time for which servers drop repeats, counted from the start of the first attempt that may have
@@ -55,8 +55,8 @@
 	if !deadline.IsZero() && !time.Now().Add(delay).Before(deadline) {
 		return ErrWriteDeadline
 	}
-	if t.Request.ClientWaiting != nil && !t.Request.ClientWaiting() {
-		return ErrClientDisconnected
+	if err := t.Request.checkClient(); err != nil {
+		return err
 	}
 	if err := checkGroup(t.Resolver, t.Server, t.Request.Group); err != nil {
 		return err
@@ -64,6 +64,21 @@
 	return CheckOffered(t.Resolver, t.Server, address)
 }
 
+// checkClient returns the reason why nothing may begin for the client: ErrClientDisconnected or ErrClientUnseen.
+func (r OutgoingRequest) checkClient() error {
+	checksUnseen := r.ClientMayHaveLeft != nil
+	if checksUnseen && !r.ClientMayHaveLeft() {
+		return nil
+	}
+	if r.ClientWaiting != nil && !r.ClientWaiting() {
+		return ErrClientDisconnected
+	}
+	if checksUnseen {
+		return ErrClientUnseen
+	}
+	return nil
+}
+
 // Revoke records that the write after Commit has failed before the byte that completes the request was passed to the kernel.
 func (t *Transmission) Revoke() {
 	t.mu.Lock()
@@ -97,5 +112,6 @@
 // reason that has nothing to do with the server.
 func WasWithheld(err error) bool {
 	return errors.Is(err, ErrAborted) || errors.Is(err, ErrWriteDeadline) || errors.Is(err, ErrClientDisconnected) ||
+		errors.Is(err, ErrClientUnseen) ||
 		errors.Is(err, ErrGroupChanged) || errors.Is(err, ErrWithdrawn)
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -48,6 +48,7 @@
 	requests     int       // requests whose head was read
 
 	closing closeVisibility
+	ahead   readAhead
 
 	memory requestMemory
 
@@ -99,6 +100,12 @@
 // Read records when bytes arrive and, if reading ends, the reason why.
 func (c *conn) Read(p []byte) (int, error) {
 	c.beginRead()
+	if n, arrivedAt := c.takeAhead(p); n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.recordArrival(arrivedAt)
+		return n, nil
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.mayHavePendingRequest() && c.hasUnread() {
 		n, err = c.readPendingRequest(p, n, err)
@@ -184,8 +191,11 @@
 // as new, and the node would forward it although its client has already given up.
 func (c *conn) kernelBufferTime() time.Duration { return socket.BufferTime(c.raw) }
 
-// hasUnread reports whether the kernel's buffer holds unread bytes.
+// hasUnread reports whether there are unread bytes, in the kernel's buffer or read ahead.
 func (c *conn) hasUnread() bool {
+	if c.hasAhead() {
+		return true
+	}
 	unread := false
 	_ = c.raw.Control(func(fd uintptr) { // fails on a closed connection, which has no unread bytes
 		n, err := socket.Peek(fd)
--- a/internal/ingress/connstate.go
+++ b/internal/ingress/connstate.go
@@ -12,7 +12,6 @@
 	closeClientClosed  = "client_closed" // closed by the client between requests
 	closeClientAborted = "client_cut"    // closed by the client during an incomplete request
 	closeClientReset   = "client_reset"  // reset by the client or the network
-	closeClientUnseen  = "client_unseen" // so much lay unread that the client may have closed it unseen, during a request
 	closeIdleTimeout   = "idle"          // idle for idleTimeout
 	closeSlowRequest   = "slow_request"  // a request was not complete before its deadline
 	closeBadRequest    = proxy.ReasonBadRequest
--- a/internal/ingress/disconnect.go
+++ b/internal/ingress/disconnect.go
@@ -15,18 +15,19 @@
 	// window. A sender may hold further bytes back until it can send half of a window.
 	minUnseenBytes = 32 << 10
 
-	// maxUnseenWindow is the receive window, in bytes, from which on a close is seen even if much lies unread.
-	maxUnseenWindow = 64 << 10
-
 	// maxUnseenTime is how long after a close was last visible an attempt may begin. An attempt must not begin more than 0.1 s after the
 	// close; the rest is left for the time until its last byte is written.
 	maxUnseenTime = 50 * time.Millisecond
+
+	// minWindowUpdate is the shortest time after reading ahead until the bytes that the client held back count as arrived. It is two round
+	// trips if they take longer.
+	minWindowUpdate = 5 * time.Millisecond
 )
 
 // closeVisibility is what is known of a client's close that may lie behind unread bytes.
 type closeVisibility struct {
-	seenOpen time.Time // when the close, had there been one, was last visible
-	unseen   bool      // the client may have closed the connection, which could not be seen
+	seenOpen     time.Time     // when the close, had there been one, was last visible
+	windowUpdate time.Duration // after reading ahead, until the bytes that the client held back have arrived
 }
 
 // peekResult is the state of a connection's receive buffer.
@@ -51,59 +52,63 @@
 	return peekClosed
 }
 
-// Disconnected reports whether the client has closed the connection, or may have closed it more than maxUnseenTime ago.
+// Disconnected reports whether the client has closed the connection.
 func (c *conn) Disconnected() bool {
 	result := peekNoData
-	closeUnseen := false
-	err := c.raw.Control(func(fd uintptr) {
-		result = peek(fd)
-		closeUnseen = result == peekData && closeMayBeUnseen(fd)
-	})
-	if err != nil || result == peekClosed {
+	err := c.raw.Control(func(fd uintptr) { result = c.observe(fd) })
+	return err != nil || result == peekClosed
+}
+
+// MayHaveDisconnected reports whether the client may have closed the connection more than maxUnseenTime ago, behind bytes that could not be
+// read ahead. Nothing may begin for it then, but it may as well wait for its answers.
+func (c *conn) MayHaveDisconnected() bool {
+	if c.Disconnected() {
 		return true
 	}
-	return c.recordObservation(time.Now(), closeUnseen)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.uploading && time.Since(c.closing.seenOpen) > maxUnseenTime
 }
 
-// recordObservation records whether a close by the client could be seen at the given time. It returns true if none could be seen for
-// maxUnseenTime, and then ends the watch for a disconnect. While the body of a request is still coming, the unread bytes are its own, and
-// no attempt can begin before they are read.
-func (c *conn) recordObservation(now time.Time, closeUnseen bool) (mayBeClosed bool) {
+// observe returns the state of the connection's receive buffer, and records whether a close by the client could be seen. If so much lies
+// unread that it could not, the unread bytes are read ahead.
+func (c *conn) observe(fd uintptr) peekResult {
+	result := peek(fd)
+	if result == peekClosed {
+		return result
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !closeUnseen {
-		c.closing.seenOpen = now
-		return false
+	if result == peekData && (c.ahead.limited || closeMayBeUnseen(fd)) {
+		c.fillAhead(fd)
+		c.closing.windowUpdate = windowUpdateTime(fd)
+		return peek(fd) // the end of the connection may follow at once
 	}
-	if c.uploading || now.Sub(c.closing.seenOpen) <= maxUnseenTime {
-		return false
+	if time.Since(c.ahead.readAt) >= c.closing.windowUpdate {
+		c.closing.seenOpen = time.Now()
 	}
-	c.setCloseReason(closeClientUnseen)
-	c.closing.unseen = true
-	_ = c.Conn.SetReadDeadline(pastDeadline) // ends the pending read of WatchDisconnect
-	return true
+	return result
 }
 
-// mayBeClosed reports whether recordObservation has found that the client may have closed the connection.
-func (c *conn) mayBeClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing.unseen
+// windowUpdateTime returns how long after reading ahead the bytes that the client held back take to arrive.
+func windowUpdateTime(fd uintptr) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return minWindowUpdate
+	}
+	roundTrip := time.Duration(max(info.Rtt, info.Rcv_rtt)) * time.Microsecond
+	return max(minWindowUpdate, 2*roundTrip)
 }
 
 // closeMayBeUnseen reports whether so much lies unread on a connection that the client may have to hold further bytes back, and its close
-// with them.
+// with them. The receive window that the kernel reports does not show it: it is that of the last acknowledgement.
 func closeMayBeUnseen(fd uintptr) bool {
 	unread, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-	if err != nil || unread < minUnseenBytes {
-		return false
-	}
-	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err != nil || info.Rcv_wnd < maxUnseenWindow // kernels before 6.2 do not tell the window: it is 0 then
+	return err == nil && unread >= minUnseenBytes
 }
 
 // WatchDisconnect returns a channel that is closed when the client closes the connection, and a function that stops the watch.
-// The watch only peeks, so that no byte of a following request is lost. The watch continues when such bytes arrive; its
+// No byte of a following request is lost: it is left unread or read ahead. The watch continues when such bytes arrive; its
 // goroutine wakes up once for each arrival.
 func (c *conn) WatchDisconnect() (clientClosed <-chan struct{}, stop func()) {
 	disconnected := make(chan struct{})
@@ -113,10 +118,10 @@
 		defer close(done)
 		result := peekNoData
 		err := c.raw.Read(func(fd uintptr) bool {
-			result = peek(fd)
+			result = c.observe(fd)
 			return result == peekClosed
 		})
-		if err == nil && result == peekClosed || c.mayBeClosed() {
+		if err == nil && result == peekClosed {
 			close(disconnected)
 		}
 	}()
--- a/internal/ingress/handle.go
+++ b/internal/ingress/handle.go
@@ -29,6 +29,7 @@
 	defer s.serving.Done()
 	err := s.serveHTTP(c)
 	c.releaseAll(err)
+	c.dropAhead()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -92,6 +92,7 @@
 		descriptors atomic.Int64 // few descriptors are left
 		unanswered  atomic.Int64 // a request ended without a complete response
 	}
+	aheadBytes  atomic.Int64 // read ahead on all connections
 	lastReclaim atomic.Int64 // time of the last call of reclaim that looked at the connections, in nanoseconds since created
 }
 
--- a/internal/ingress/tracking.go
+++ b/internal/ingress/tracking.go
@@ -29,7 +29,7 @@
 	defer c.mu.Unlock()
 	outcome := inflight.Answered
 	switch {
-	case c.closeReason == proxy.ReasonClientDisconnected || c.closeReason == closeClientUnseen:
+	case c.closeReason == proxy.ReasonClientDisconnected:
 		outcome = inflight.ClientDisconnected
 	case status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests:
 		outcome = inflight.Rejected
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -97,6 +97,16 @@
 	a.options.Counters.Limit.Set(bytes)
 }
 
+// Limit returns the number of bytes that may be charged; 0 without a limit.
+func (a *Account) Limit() int64 {
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit
+}
+
 // SetReclaim sets a function that is called when a charge exceeds the limit. It should end slow, unfinished work, whose memory is then
 // released. It must not block, and must not call the account.
 func (a *Account) SetReclaim(reclaim func()) {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -84,6 +84,8 @@
 		OnWritten:     relayed.Inc,
 		Group:         options.Group,
 		ClientWaiting: r.clientWaiting,
+
+		ClientMayHaveLeft: r.client.MayHaveDisconnected,
 	}
 	if options.WriteDeadline > 0 {
 		attempt.WriteDeadline = time.Now().Add(clock.Duration(options.WriteDeadline - r.handler.options.Clock.Now()))
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -44,6 +44,8 @@
 	WatchDisconnect() (disconnected <-chan struct{}, stop func())
 	// Disconnected reports whether the client has disconnected.
 	Disconnected() bool
+	// MayHaveDisconnected reports whether the client has disconnected, or may have done so without it being seen yet.
+	MayHaveDisconnected() bool
 	// SetCloseReason sets the reason for closing the connection. Only the first call has an effect.
 	SetCloseReason(reason string)
 }
@@ -115,9 +117,8 @@
 
 // process handles an admitted request until its outcome is known.
 func (r *request) process(ctx *fasthttp.RequestCtx) outcome {
-	// The client may have disconnected while the request was queued in the kernel or in the node.
-	if r.client.Disconnected() {
-		return r.clientDisconnected(ctx)
+	if o := r.awaitVisibleClient(ctx); o != nil {
+		return *o
 	}
 	r.route()
 	if o := r.upload(ctx); o != nil {
--- a/internal/proxy/handler_test.go
+++ b/internal/proxy/handler_test.go
@@ -32,6 +32,7 @@
 func (c *fakeClient) WatchDisconnect() (<-chan struct{}, func()) { return c.disconnect, func() {} }
 func (c *fakeClient) SetCloseReason(reason string)               { c.closeReason = reason }
 func (c *fakeClient) Disconnected() bool                         { return c.disconnected }
+func (c *fakeClient) MayHaveDisconnected() bool                  { return c.disconnected }
 
 // panickingRouter panics on every call.
 type panickingRouter struct{}
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -21,6 +21,12 @@
 	// afterStandstill is how long the balancer has after a standstill to handle its own timers, which are due as the watchdog is.
 	afterStandstill = 10 * time.Millisecond
 
+	// visibilityInterval is how often a request looks again whether its client is still connected.
+	visibilityInterval = 2 * time.Millisecond
+
+	// codeClientUnseen is the rejection code of a request whose client could not be seen until its deadline.
+	codeClientUnseen = "client_unseen"
+
 	// statusClientClosedRequest is the status for a client that has disconnected, or has closed only its sending side.
 	statusClientClosedRequest = 499
 )
@@ -93,6 +99,22 @@
 	return outcomeOf(resp)
 }
 
+// awaitVisibleClient waits until it is seen that the client is still connected. It may have disconnected while the request was queued in the
+// kernel or in the node, behind bytes that are not read yet. It returns the outcome of a request for which nothing may begin, or nil.
+func (r *request) awaitVisibleClient(ctx *fasthttp.RequestCtx) *outcome {
+	for r.client.MayHaveDisconnected() {
+		if r.client.Disconnected() {
+			o := r.clientDisconnected(ctx)
+			return &o
+		}
+		if r.handler.options.Clock.Now() >= r.deadline {
+			return &outcome{status: fasthttp.StatusServiceUnavailable, rejectCode: codeClientUnseen}
+		}
+		time.Sleep(visibilityInterval)
+	}
+	return nil
+}
+
 // clientDisconnected closes the connection of a client that has disconnected and returns the outcome.
 func (r *request) clientDisconnected(ctx *fasthttp.RequestCtx) outcome {
 	r.client.SetCloseReason(ReasonClientDisconnected)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -64,9 +64,8 @@
 // arrives after the last byte is final, since the request may have run.
 func (r *request) routeAgain(ctx *fasthttp.RequestCtx) *outcome {
 	discard(<-r.response)
-	if r.client.Disconnected() {
-		o := r.clientDisconnected(ctx)
-		return &o
+	if o := r.awaitVisibleClient(ctx); o != nil {
+		return o
 	}
 	r.received.uploading = false
 	r.outgoing.submittedDeadline = r.deadline
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -32,12 +32,17 @@
 // unknown.
 func BufferTime(raw syscall.RawConn) time.Duration {
 	var buffered time.Duration
-	_ = raw.Control(func(fd uintptr) { // if it fails, the time is unknown
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			buffered = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
+	_ = raw.Control(func(fd uintptr) { buffered = BufferTimeOf(fd) }) // if it fails, the time is unknown
+	return buffered
+}
+
+// BufferTimeOf is BufferTime for a descriptor.
+func BufferTimeOf(fd uintptr) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	buffered := time.Duration(info.Last_data_recv) * time.Millisecond
 	if buffered < minBufferTime {
 		return 0
 	}
