--- a/cmd/tacklab/soak.go
+++ b/cmd/tacklab/soak.go
@@ -26,6 +26,7 @@
 	Uploads     bool          `help:"Let requests with an effect have long bodies, and half of the servers speak CoAP."`
 	Devices     bool          `help:"Let CoAP devices send a part of the operations; they repeat messages and move to the next node after a rejection."`
 	Pressure    bool          `help:"Nodes with 48 MB and few descriptors; slow, stopping and flooding clients, long heads, responses in lumps, repeated ids."`
+	Inventory   bool          `help:"One node whose servers files move between pods, with [inventory] turned on and off, restarts and upgrades; keyed requests are reset."`
 	Plan        string        `help:"Replay the plan in this file instead." type:"existingfile"`
 	Print       bool          `help:"Print the plans and play nothing."`
 	Shrink      bool          `help:"Make the first plan that breaks smaller, and print what is left."`
@@ -36,6 +37,9 @@
 
 // Run runs all plans and prints the figures of each and of all together.
 func (c *soakCmd) Run(ctx context.Context) error {
+	if c.Inventory {
+		return c.runInventory(ctx)
+	}
 	plans, err := c.plans()
 	if err != nil {
 		return err
