A request that no listed server can get is refused at once

Cause: the attempt ends as not sent, and the request was queued for another server, of which there is none.

Change: the transport reports it (Undeliverable) if all listed servers speak CoAP, and the balancer gives the final answer. Fleets with HTTP servers go on as before.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -57,6 +57,8 @@
 			b.addToServedFractions(r, func(s *servedFraction, weight float64) { s.served += weight })
 		}
 		b.finishRequest(r)
+	case r.openAttempts == 0 && !r.queued && e.Undeliverable:
+		b.rejectOrFail(r, AttemptsExhausted)
 	case r.openAttempts == 0 && !r.queued:
 		b.retryOrGiveUp(r, e.Outcome)
 	}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -36,6 +36,7 @@
 	Outcome         Outcome
 	Elapsed         Millis
 	RequestFinished bool // the client has its final answer, or no longer waits for one
+	Undeliverable   bool // no listed server can be sent the request
 	Report          LoadReport
 }
 
--- a/cmd/tackhub/coaptarget_test.go
+++ b/cmd/tackhub/coaptarget_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
@@ -15,6 +16,9 @@
 	"tackhub.example/tackhub/internal/coap/wire"
 )
 
+// maxRefusalTime is how long the refusal of a request may take that no server can get: far less than the 400 ms for which requests are queued.
+const maxRefusalTime = 200 * time.Millisecond
+
 // withTarget returns a request of a class for another target.
 func withTarget(class, target string) string {
 	return strings.Replace(request(class, 900), " /"+class+" ", " "+target+" ", 1)
@@ -55,6 +59,9 @@
 		if want == "" && (got.status != http.StatusServiceUnavailable || after != before) {
 			t.Errorf("%.30s: status %d, and the server got %d messages; want 503 and none", text, got.status, after-before)
 		}
+		if want == "" && got.took > maxRefusalTime {
+			t.Errorf("%.30s: refused after %v, want it refused at once, within %v", text, got.took, maxRefusalTime)
+		}
 		if want != "" && (got.status != http.StatusOK || got.body != want) {
 			t.Errorf("%.30s: status %d, the server got %s, want %s", text, got.status, got.body, want)
 		}
--- a/internal/coap/back/attempt.go
+++ b/internal/coap/back/attempt.go
@@ -59,7 +59,8 @@
 	request, body, err := convertRequest(a.transmission.Request.Encoded())
 	if err != nil {
 		t.recordInexpressible(err)
-		return engine.Completion{Outcome: balancer.NotSent}
+		undeliverable := t.options.OnlyCoap != nil && t.options.OnlyCoap()
+		return engine.Completion{Outcome: balancer.NotSent, Undeliverable: undeliverable}
 	}
 	conn, err := t.acquire(strings.TrimPrefix(address, Scheme))
 	if err != nil {
--- a/internal/coap/back/transport.go
+++ b/internal/coap/back/transport.go
@@ -26,6 +26,7 @@
 // Options configures a Transport.
 type Options struct {
 	Resolver     engine.Resolver // its addresses include the scheme
+	OnlyCoap     func() bool     // reports whether all listed servers speak CoAP; nil: not known
 	MaxExchanges int             // exchanges in flight to one server: NSTART of RFC 7252, 4.7
 	// RetransmitWindow is how long after its first transmission a message may be retransmitted. A server that starts
 	// draining in the meantime must not receive the message after the drain grace has ended.
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -4,6 +4,7 @@
 package endpoints
 
 import (
+	"strings"
 	"sync"
 
 	"tackhub.example/tackhub/balancer"
@@ -57,6 +58,18 @@
 	return address, ok
 }
 
+// AllHaveScheme reports whether the addresses of all servers that may get requests begin with a scheme. Discovery's addresses have none.
+func (d *Directory) AllHaveScheme(scheme string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, address := range d.addresses {
+		if !strings.HasPrefix(address, scheme) {
+			return false
+		}
+	}
+	return len(d.addresses) > 0
+}
+
 // Groups returns the zone and the cell of a server by the list that was passed to the balancer last; false if it does not name the server.
 func (d *Directory) Groups(id balancer.ServerID) (zone string, cell int, known bool) {
 	d.mu.RLock()
--- a/internal/endpoints/placement_test.go
+++ b/internal/endpoints/placement_test.go
@@ -44,3 +44,31 @@
 type discardingConsumer struct{}
 
 func (discardingConsumer) handleDiscovery(discovery.List, balancer.UpdateKind) {}
+
+// A request that CoAP cannot express is refused at once only if no other server is there to get it.
+func TestAllHaveSchemeSeesEveryServerThatMayGetRequests(t *testing.T) {
+	n := newFakeNode()
+	d := n.directory
+	if d.AllHaveScheme("coap://") {
+		t.Error("without the inventory: true, want false, since discovery's servers speak HTTP")
+	}
+	d.attach(discardingConsumer{})
+	coap := endpointmerge.Entry{ID: "c", Address: "coap://10.0.0.1:5683"}
+	http := endpointmerge.Entry{ID: "h", Address: "10.0.0.2:80"}
+	drained := http
+	drained.Draining = true
+	for name, c := range map[string]struct {
+		list []endpointmerge.Entry
+		want bool
+	}{
+		"none":             {nil, false},
+		"CoAP":             {[]endpointmerge.Entry{coap}, true},
+		"both":             {[]endpointmerge.Entry{coap, http}, false},
+		"HTTP that drains": {[]endpointmerge.Entry{coap, drained}, true},
+	} {
+		d.publish(c.list, balancer.FullUpdate)
+		if got := d.AllHaveScheme("coap://"); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/engine/pending.go
+++ b/internal/engine/pending.go
@@ -173,7 +173,7 @@
 		c.discard()
 	}
 	e.step(balancer.AttemptCompleted{ID: r.id, Attempt: a.index, Server: a.server, Outcome: c.Outcome, Elapsed: c.Elapsed,
-		RequestFinished: r.finished, Report: c.Report})
+		RequestFinished: r.finished, Undeliverable: c.Undeliverable, Report: c.Report})
 	e.removeIfFinished(r)
 }
 
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -40,6 +40,7 @@
 	Body               []byte        // the complete response body, or its beginning if Remaining is set
 	Remaining          RemainingBody // the rest of the body; nil if Body is complete
 	ClientDisconnected bool          // the request was not completely written, because the client had disconnected
+	Undeliverable      bool          // no listed server can be sent the request
 }
 
 // discard closes the rest of a response body that is not sent to the client.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -176,6 +176,7 @@
 	})
 	n.coapTransport = back.New(back.Options{
 		Resolver:         n.endpoints,
+		OnlyCoap:         func() bool { return n.endpoints.AllHaveScheme(back.Scheme) },
 		MaxExchanges:     coapMaxExchanges,
 		RetransmitWindow: clock.Duration(settings.DrainGrace / 2),
 		ParseLoad:        n.pool.ParseLoad,
