A new server gets repeats of its group again

Cause: membership began when a server was first listed, or listed again.

Change: it begins anew only when a listed server moves to another zone or cell.

--- a/balancer/dedupgroup.go
+++ b/balancer/dedupgroup.go
@@ -34,8 +34,9 @@
 	return DedupGroup{}
 }
 
-// groupMembership is since when a server has been in its zone and in its cell, by the endpoint lists
-// that this node has received.
+// groupMembership is since when a server has been in its zone and in its cell. The time is 0 for a
+// server that has been in them since it was first listed: the servers of a group share their keys also
+// with a new one.
 type groupMembership struct {
 	zoneSince Millis
 	cellSince Millis
@@ -64,13 +65,14 @@
 
 // inheritMembership keeps the times of the former process of a server for the groups that it has not
 // left. The servers of a group drop repeats together, also when one of them restarts.
-func (s *server) inheritMembership(former *server) {
+func (s *server) inheritMembership(former *server, now Millis) {
+	s.membership = former.membership
 	if s.Zone != former.Zone {
-		return
+		s.membership.zoneSince = now
+		s.membership.cellSince = now
 	}
-	s.membership.zoneSince = former.membership.zoneSince
-	if s.Cell == former.Cell {
-		s.membership.cellSince = former.membership.cellSince
+	if s.Cell != former.Cell {
+		s.membership.cellSince = now
 	}
 }
 
@@ -83,7 +85,7 @@
 }
 
 // remembers reports whether a server drops a repeat. Invariant: the server has been in the group since
-// before the first attempt that may have run. A server that has joined since may not know the key, and
+// before the first attempt that may have run. A server that has moved to it since may not know the key, and
 // one that has left the group does not use it any more.
 func (d dedupBinding) remembers(s *server) bool {
 	return d.group.Contains(s.Zone, s.Cell) && s.membership.since(d.group.Scope) <= d.sentAt
--- a/balancer/endpointlist.go
+++ b/balancer/endpointlist.go
@@ -141,13 +141,11 @@
 	}
 	fresh := b.newServer(entry, noChangeMissed)
 	b.servers.byID[entry.ID] = fresh
-	if s != nil && s.State != Removed {
-		fresh.inheritMembership(s)
-	}
 	if s == nil {
 		b.servers.known = append(b.servers.known, fresh)
 		return
 	}
+	fresh.inheritMembership(s, b.now)
 	b.servers.known[slices.Index(b.servers.known, s)] = fresh
 }
 
@@ -158,9 +156,6 @@
 // the entry of a removed server may lack it.
 func (b *Balancer) updateEndpoint(s *server, entry Endpoint) {
 	if entry.State == Ready {
-		if s.State == Removed { // it was in no group meanwhile
-			s.membership = groupMembership{zoneSince: b.now, cellSince: b.now}
-		}
 		s.changeCell(entry.Cell, b.now)
 	}
 	s.State = entry.State
@@ -169,7 +164,6 @@
 
 func (b *Balancer) newServer(entry Endpoint, noChangeMissed bool) *server {
 	s := &server{Endpoint: entry, zoneFailures: b.zoneRecord(entry.Zone)}
-	s.membership = groupMembership{zoneSince: b.now, cellSince: b.now}
 	s.slowStart.since = b.slowStartBegin(entry.Started, noChangeMissed)
 	// Each node starts with a random fraction of a token, so that the nodes do not all send their first
 	// request to the server at the same time.
