A stop closes connections with nothing behind the answer, and floods, again

Cause: a connection stayed open during a stop once it had carried a pipelined request, and while a flood of health checks lay unread on it; the floods kept the node busy.

Change: what the HTTP server has buffered is counted, and a connection stays open only if something lies behind an answer of a server.

--- a/cmd/tackhub/pipelining_test.go
+++ b/cmd/tackhub/pipelining_test.go
@@ -128,3 +128,43 @@
 		t.Errorf("exit code %d, want 0", code)
 	}
 }
+
+// A client floods the node with health checks while it stops. Its connection stayed open for what lay unread, and the flood made other clients'
+// answers late. It must be closed after the next answer, long before the stop ends.
+func TestFloodOfHealthChecksEndsWithTheStop(t *testing.T) {
+	p := startForPipelines(t, 300*time.Millisecond)
+	pending := p.send(request("look", 5000)) // keeps the node from ending at once
+	c := p.connect()
+	ended := make(chan time.Time, 1)
+	go func() {
+		flood := strings.Repeat("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", 200)
+		for {
+			if _, err := c.Write([]byte(flood)); err != nil {
+				ended <- time.Now()
+				return
+			}
+		}
+	}()
+	go func() {
+		for {
+			if _, err := c.read(); err != nil {
+				_ = c.Close()
+				return
+			}
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	stopped := time.Now()
+	p.terminate()
+	if resp := await(t, "the request in flight", pending); resp.status != 200 {
+		t.Errorf("the request in flight got status %d, want 200", resp.status)
+	}
+	select {
+	case at := <-ended:
+		if took := at.Sub(stopped); took > 300*time.Millisecond {
+			t.Errorf("the flood ended %v after the stop began, want within 300 ms", took)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the flood goes on 5 s after the stop began")
+	}
+}
--- a/internal/ingress/connstate.go
+++ b/internal/ingress/connstate.go
@@ -39,7 +39,7 @@
 // closeReasonAfterResponse returns the reason for closing the connection after the next response, or "" if it stays open.
 func (c *conn) closeReasonAfterResponse() string {
 	draining := c.server.draining() || c.server.AdminDraining()
-	keepOpen := draining && c.mayHoldRequests() && c.server.servesPipelines()
+	keepOpen := draining && c.holdsRequests() && c.server.servesPipelines()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.nodeCloseReason == "" && draining && !keepOpen {
@@ -48,10 +48,13 @@
 	return c.nodeCloseReason
 }
 
-// mayHoldRequests reports whether the client may have written further requests behind the current one: there are unread bytes, or the HTTP
-// server may have buffered some. Such requests have been taken, so they are answered before the connection is closed. Without any the connection
-// becomes idle, and a graceful shutdown closes it as all idle ones.
-func (c *conn) mayHoldRequests() bool { return c.framing.unknown || c.hasUnread() }
+// holdsRequests reports whether the client has written more behind the current request: there are unread bytes, or the HTTP server has buffered
+// some. Such requests have been taken, so they are answered before the connection is closed. A connection without any is closed at once: its
+// client would send the next request to a node that is about to end. So is one whose current request needed no server: a client that floods the
+// node with health checks must not keep it busy during a shutdown.
+func (c *conn) holdsRequests() bool {
+	return c.forwarded && (c.framing.buffered >= minRequestBytes || c.hasUnread())
+}
 
 // isClosingFor reports whether the node is closing the connection for the given reason.
 func (c *conn) isClosingFor(reason string) bool {
--- a/internal/ingress/handle.go
+++ b/internal/ingress/handle.go
@@ -93,7 +93,9 @@
 		c.localResponseAt = time.Now()
 	}
 	c.markHandled()
-	c.framing.endRequest(bodySizeOf(&ctx.Request.Header))
+	bodySize := bodySizeOf(&ctx.Request.Header)
+	c.framing.countBuffered(&ctx.Request.Header, bodySize)
+	c.framing.endRequest(bodySize)
 	if ctx.Request.Header.ConnectionClose() {
 		c.SetCloseReason(proxy.ReasonCloseRequested)
 	} else if reason := c.closeReasonAfterResponse(); reason != "" {
--- a/internal/ingress/readhead.go
+++ b/internal/ingress/readhead.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -11,6 +13,9 @@
 	// parsed, so the limit on bytes does not bound them.
 	maxHeadFields = 100
 
+	// minRequestBytes is less than the size of any request, and more than the error of an estimated head size.
+	minRequestBytes = 32
+
 	// maxUnframedRead limits a read, in bytes, if it is not known whether the HTTP server has already buffered the beginning of the next
 	// head. A small read bounds the fields that are parsed before the number of fields is known.
 	maxUnframedRead = 512
@@ -25,6 +30,9 @@
 	unknown bool
 	// received is the number of bytes since the beginning of the current request, and headSize the size of its head; 0: not complete.
 	received, headSize int
+	// buffered is about how many bytes of later requests the HTTP server has buffered; 0 if it is not known. The size of a head that was not
+	// read at once is estimated from its parts.
+	buffered int
 	// tooMany is true if the current head has too many fields. Its first byte was passed on, and the next read fails.
 	tooMany bool
 }
@@ -85,6 +93,14 @@
 	return n, nil // an error will be returned again by the next read
 }
 
+// countBuffered updates buffered at the end of the current request, before endRequest.
+func (f *headFraming) countBuffered(header *fasthttp.RequestHeader, bodySize int) {
+	f.buffered = max(0, f.buffered+f.received-estimatedHeadSize(header)-bodySize)
+	if bodySize < 0 {
+		f.buffered = 0
+	}
+}
+
 // endRequest records that the current request was handled. The next read begins a head if no byte beyond the body was received.
 func (f *headFraming) endRequest(bodySize int) {
 	if f.headSize == 0 || bodySize < 0 || f.received != f.headSize+bodySize {
@@ -94,6 +110,12 @@
 	f.headSize = 0
 }
 
+// estimatedHeadSize returns about the size of a request's head, within a few bytes.
+func estimatedHeadSize(header *fasthttp.RequestHeader) int {
+	const restOfRequestLine = len("  HTTP/1.1\r\n")
+	return len(header.Method()) + len(header.RequestURI()) + restOfRequestLine + len(header.RawHeaders())
+}
+
 // headSize returns the size of the head at the beginning of b, including the empty line at its end, or 0 if the head is not complete.
 func headSize(b []byte) int {
 	for end := 0; ; {
