Pressure soak: clients that write many requests at once and stay

Two at each node write 5 to 100 requests of up to 2 kB at once and read all answers. An answer 499, or an end without a word outside a stop, is a breach (cut-off).

--- a/lab/soak/pressure.go
+++ b/lab/soak/pressure.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"tackhub.example/tackhub/lab/audit"
 	"tackhub.example/tackhub/lab/backend"
 	"tackhub.example/tackhub/lab/scenario"
 )
@@ -62,6 +61,10 @@
 			repeaterRand := rand.New(rand.NewPCG(rng.Uint64(), 4))
 			c.running.Go(func() { c.repeatIDs(repeaterRand, node, address) })
 		}
+		for range pipeliners {
+			pipelineRand := rand.New(rand.NewPCG(rng.Uint64(), 5))
+			c.running.Go(func() { c.sendPipelines(pipelineRand, node, address) })
+		}
 	}
 }
 
@@ -164,11 +167,8 @@
 	if err == nil || c.excused(node, began, ended) {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.breaches = append(c.breaches, audit.Breach{Rule: audit.RuleCutOff, At: ended, Text: fmt.Sprintf(
-		"%s: the response ended after %d of %d bytes, %v after the request to node %d: %v", backend.AttemptID(operation, 0), received,
-		size/lumps*lumps, ended-began, node, err)})
+	c.addBreach(ended, fmt.Sprintf("%s: the response ended after %d of %d bytes, %v after the request to node %d: %v",
+		backend.AttemptID(operation, 0), received, size/lumps*lumps, ended-began, node, err))
 }
 
 // excused reports whether a response may have been cut off between two times because its node was stopped or a server had a fault.
